--- a/packages/entry/include/teasellead/entry/fleet_agent.hpp
+++ b/packages/entry/include/teasellead/entry/fleet_agent.hpp
@@ -8,7 +8,6 @@
 #include <thread>
 #include <vector>
 
-#include "teasellead/entry/decision_log.hpp"
 #include "teasellead/entry/node_settings.hpp"
 #include "teasellead/entry/peer_exchange.hpp"
 #include "teasellead/entry/platform_reader.hpp"
@@ -22,6 +21,7 @@
 #include "teasellead/kernel/revision_cell.hpp"
 #include "teasellead/routing/hedge_policy.hpp"
 #include "teasellead/routing/upstream_table.hpp"
+#include "teasellead/runtime/decision_log.hpp"
 
 namespace teasellead
 {
--- a/packages/entry/include/teasellead/entry/node_settings.hpp
+++ b/packages/entry/include/teasellead/entry/node_settings.hpp
@@ -7,9 +7,9 @@
 #include <variant>
 #include <vector>
 
-#include "teasellead/entry/decision_log.hpp"
 #include "teasellead/fleet/peer_link.hpp"
 #include "teasellead/kernel/endpoint.hpp"
+#include "teasellead/runtime/decision_log.hpp"
 
 namespace teasellead
 {
--- a/packages/entry/include/teasellead/entry/non_idempotent_handler.hpp
+++ b/packages/entry/include/teasellead/entry/non_idempotent_handler.hpp
@@ -5,7 +5,6 @@
 #include <optional>
 #include <string>
 
-#include "teasellead/entry/decision_log.hpp"
 #include "teasellead/entry/fleet_agent.hpp"
 #include "teasellead/entry/single_runner.hpp"
 #include "teasellead/entry/worker_pool.hpp"
@@ -16,6 +15,7 @@
 #include "teasellead/routing/quarantine.hpp"
 #include "teasellead/routing/request_id.hpp"
 #include "teasellead/routing/request_memory.hpp"
+#include "teasellead/runtime/decision_log.hpp"
 
 namespace teasellead
 {
--- a/packages/entry/include/teasellead/entry/request_handler.hpp
+++ b/packages/entry/include/teasellead/entry/request_handler.hpp
@@ -7,7 +7,6 @@
 #include <string>
 #include <variant>
 
-#include "teasellead/entry/decision_log.hpp"
 #include "teasellead/entry/fleet_agent.hpp"
 #include "teasellead/entry/http_server.hpp"
 #include "teasellead/entry/metrics.hpp"
@@ -16,6 +15,7 @@
 #include "teasellead/entry/worker_pool.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/revision_cell.hpp"
+#include "teasellead/runtime/decision_log.hpp"
 
 namespace teasellead
 {
--- a/packages/entry/include/teasellead/entry/search_runner.hpp
+++ b/packages/entry/include/teasellead/entry/search_runner.hpp
@@ -5,12 +5,12 @@
 #include <string>
 #include <variant>
 
-#include "teasellead/entry/decision_log.hpp"
 #include "teasellead/entry/upstream_client.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/revision_cell.hpp"
 #include "teasellead/routing/gather.hpp"
 #include "teasellead/routing/quarantine.hpp"
+#include "teasellead/runtime/decision_log.hpp"
 
 namespace teasellead
 {
--- a/packages/entry/include/teasellead/entry/single_runner.hpp
+++ b/packages/entry/include/teasellead/entry/single_runner.hpp
@@ -3,12 +3,12 @@
 #include <cstdint>
 #include <string>
 
-#include "teasellead/entry/decision_log.hpp"
 #include "teasellead/entry/upstream_client.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/revision_cell.hpp"
 #include "teasellead/routing/quarantine.hpp"
 #include "teasellead/routing/single_attempt.hpp"
+#include "teasellead/runtime/decision_log.hpp"
 
 namespace teasellead
 {
--- a/packages/entry/src/detail/relay_log_lines.hpp
+++ b/packages/entry/src/detail/relay_log_lines.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "teasellead/entry/decision_log.hpp"
 #include "teasellead/fleet/relay_record.hpp"
+#include "teasellead/runtime/decision_log.hpp"
 
 namespace teasellead::detail
 {
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -11,6 +12,9 @@
 #include "teasellead/entry/node_settings.hpp"
 #include "teasellead/kernel/exceptions.hpp"
 #include "teasellead/kernel/overloaded.hpp"
+#include "teasellead/kernel/registry.hpp"
+#include "teasellead/runtime/deployment.hpp"
+#include "teasellead/runtime/forwarding_node.hpp"
 
 namespace
 {
@@ -18,6 +22,8 @@
 constexpr int exit_ok = 0;
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
+constexpr int no_deployment_id = 212;
+constexpr const char* deployment_settings_variable = "TEASELLEAD_SETTINGS";
 
 std::optional<std::string> read_environment(const std::string& name)
 {
@@ -34,6 +40,25 @@
     return signals;
 }
 
+/// serves a deployment whose adapter reads its own settings file
+int run_deployment(const std::string& settings_path)
+{
+    using namespace teasellead::runtime;
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto names = teasellead::registry<deployment_factory>::instance().names();
+    if (names.empty())
+    {
+        throw teasellead::settings_error(no_deployment_id,
+                                         "this program was built without a deployment adapter");
+    }
+    const auto make = teasellead::registry<deployment_factory>::instance().create(names.front());
+    const std::unique_ptr<deployment> platform = make(settings_path);
+    teasellead::decision_log log{teasellead::log_format::json, teasellead::log_level::info,
+                                 teasellead::log_target::standard_output};
+    forwarding_node node{*platform, log};
+    return node.run() ? exit_ok : exit_failure;
+}
+
 int run(const teasellead::node_settings& settings)
 {
     // blocked in all threads before any starts; further signals during a stop change nothing
@@ -53,6 +78,11 @@
     try
     {
         const std::vector<std::string> arguments{argv + 1, argv + argc};
+        const auto settings_path = read_environment(deployment_settings_variable);
+        if (arguments.empty() && settings_path)
+        {
+            return run_deployment(*settings_path);
+        }
         return std::visit(teasellead::overloaded{[](const teasellead::node_settings& settings)
                                                  { return run(settings); },
                                                  [](const teasellead::settings_text& text)
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <thread>
 
-#include "teasellead/entry/decision_log.hpp"
 #include "teasellead/entry/fleet_agent.hpp"
 #include "teasellead/entry/http_server.hpp"
 #include "teasellead/entry/metrics.hpp"
@@ -18,6 +17,7 @@
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/hashing.hpp"
 #include "teasellead/kernel/revision_cell.hpp"
+#include "teasellead/runtime/decision_log.hpp"
 
 namespace teasellead
 {
--- /dev/null
+++ b/packages/fleet/include/teasellead/fleet/account_quota.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "teasellead/fleet/messages.hpp"
+#include "teasellead/forwarding/route.hpp"
+#include "teasellead/kernel/clock.hpp"
+
+namespace teasellead
+{
+
+/*!
+@brief this node's part of the limits of all accounts
+
+A node's part of a limit follows from its part of the demand that all nodes report, so that callers are served
+wherever they connect. Not safe for use by several threads.
+*/
+class account_quota
+{
+  public:
+    /// takes the limits of a new revision
+    void on_declarations(const std::vector<forwarding::account>& accounts, time_point now);
+
+    /*!
+    @brief takes what the other nodes report
+
+    @param[in] elsewhere  demand of all other nodes that may be serving, summed by account
+    @param[in] nodes      number of nodes that may be serving, this one among them
+    @param[in] now        current time
+    */
+    void on_view(const std::vector<account_demand>& elsewhere, std::size_t nodes, time_point now);
+
+    /*!
+    @brief admits one request or refuses it
+
+    @param[in] name  declared account
+    @param[in] now   current time
+
+    @return nothing if it is admitted, else the time after which one may be
+
+    @complexity constant
+    */
+    [[nodiscard]] duration admit(const std::string& name, time_point now);
+
+    /// gives back an admitted request that was never sent to an upstream
+    void refund(const std::string& name);
+
+    /// this node's own demand, for its reports
+    [[nodiscard]] std::vector<account_demand> demand(time_point now);
+
+  private:
+    struct account_state
+    {
+        double m_rate{0.0};  ///< declared limit
+        double m_burst{0.0}; ///< declared burst
+        double m_tokens{0.0};
+        double m_part{0.0};      ///< this node's part of the limit
+        double m_demand{0.0};    ///< arrivals a second, averaged
+        double m_elsewhere{0.0}; ///< arrivals a second at all other nodes
+        std::uint64_t m_arrivals{0};
+        time_point m_refilled_at{};
+        time_point m_estimated_at{};
+    };
+
+    static void refill(account_state& state, time_point now);
+    static void estimate(account_state& state, time_point now);
+    void divide(account_state& state) const;
+
+    std::unordered_map<std::string, account_state> m_accounts;
+    std::size_t m_nodes{0};
+};
+
+} // namespace teasellead
--- a/packages/fleet/include/teasellead/fleet/messages.hpp
+++ b/packages/fleet/include/teasellead/fleet/messages.hpp
@@ -193,10 +193,41 @@
     friend bool operator==(const forward_reply&, const forward_reply&) = default;
 };
 
+/// requests a second that callers of one account send to one node
+struct account_demand
+{
+    std::string m_account;
+    double m_rate{0.0};
+
+    friend bool operator==(const account_demand&, const account_demand&) = default;
+};
+
+/// what a node says of itself, passed on by its peers
+struct node_record
+{
+    endpoint m_address;
+    node_incarnation m_incarnation{0}; ///< grows with each start of a node at the address
+    std::uint64_t m_sequence{0};       ///< grows with each heartbeat of one incarnation
+    bool m_leaving{false};
+    std::vector<account_demand> m_demand;
+
+    friend bool operator==(const node_record&, const node_record&) = default;
+};
+
+/// records of nodes that the sender has heard of lately, its own among them
+struct roster_notice
+{
+    std::vector<node_record> m_records;
+    bool m_wants_reply{false}; ///< whether the receiver shall answer with its own records
+
+    friend bool operator==(const roster_notice&, const roster_notice&) = default;
+};
+
 /// content of a message between nodes
-using peer_content = std::variant<hello, revision_request, revision_reply, share_request, share_grant,
-                                  spare_shares, evidence_notice, cold_permit_request, cold_permit_grant,
-                                  quarantine_notice, forward_request, forward_reply, share_return>;
+using peer_content =
+    std::variant<hello, revision_request, revision_reply, share_request, share_grant, spare_shares,
+                 evidence_notice, cold_permit_request, cold_permit_grant, quarantine_notice, forward_request,
+                 forward_reply, share_return, roster_notice>;
 
 /// a message between nodes with its sender
 struct peer_message
--- a/packages/fleet/include/teasellead/fleet/peer_link.hpp
+++ b/packages/fleet/include/teasellead/fleet/peer_link.hpp
@@ -43,6 +43,13 @@
     */
     virtual void retain(const std::vector<endpoint>& peers) = 0;
 
+    /*!
+    @brief descriptor that becomes readable when messages may have arrived, for event loops
+
+    After that, and after each call of @ref receive, messages may be left until a call returns none.
+    */
+    [[nodiscard]] virtual int descriptor() = 0;
+
     /// ends a running @ref receive early; may be called from any thread
     virtual void wake() = 0;
 
--- /dev/null
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "teasellead/fleet/messages.hpp"
+#include "teasellead/kernel/clock.hpp"
+#include "teasellead/kernel/random.hpp"
+
+namespace teasellead
+{
+
+/// periods of @ref roster
+struct roster_settings
+{
+    duration m_gossip_period{std::chrono::milliseconds{500}};
+    std::size_t m_fanout{2};                                ///< peers that receive each notice
+    std::size_t m_max_records{24};                          ///< records of a notice
+    duration m_silence{std::chrono::seconds{8}};            ///< after which one silent node is forgotten
+    duration m_partition_silence{std::chrono::seconds{30}}; ///< the same if most others are silent too
+    duration m_join_time{std::chrono::milliseconds{1500}};  ///< after which a node without answers is alone
+    duration m_settling_time{std::chrono::seconds{2}}; ///< after a start, in which others may be unknown yet
+    std::size_t m_least_nodes_at_start{10};            ///< nodes that are assumed meanwhile
+
+    friend bool operator==(const roster_settings&, const roster_settings&) = default;
+};
+
+/*!
+@brief which nodes there are, by gossip that begins at a few seeds
+
+There is no list of nodes and none has a special role. Each node tells a few random peers what it has heard of
+all nodes lately. Limits that are divided by the number of nodes stay safe because a node that falls silent is
+counted until it can't serve any more, and for longer when so many are silent that this node itself may be cut
+off. A state machine without I/O. Not safe for use by several threads.
+*/
+class roster
+{
+  public:
+    /*!
+    @brief creates the view of a node that has just started
+
+    @param[in] self         address of this node
+    @param[in] incarnation  greater than that of an earlier process at the address
+    @param[in] seeds        addresses to begin with; some may be stale
+    @param[in] settings     periods
+    @param[in] now          current time
+    */
+    roster(endpoint self, node_incarnation incarnation, std::vector<endpoint> seeds, roster_settings settings,
+           time_point now);
+
+    /*!
+    @brief takes a notice
+
+    @param[in] sender   its sender
+    @param[in] notice   the records
+    @param[in] now      current time
+
+    @return the answer, if the sender wants one
+    */
+    [[nodiscard]] std::vector<outgoing_message> on_notice(const endpoint& sender, const roster_notice& notice,
+                                                          time_point now);
+
+    /*!
+    @brief notices that are due
+
+    @param[in] demand   what callers ask of this node
+    @param[in] leaving  whether it stops
+    @param[in] random   chooses the receivers
+    @param[in] now      current time
+    */
+    [[nodiscard]] std::vector<outgoing_message> on_tick(std::vector<account_demand> demand, bool leaving,
+                                                        random_source& random, time_point now);
+
+    /// whether this node has heard from another, or is alone
+    [[nodiscard]] bool has_joined(time_point now) const;
+
+    /// number of nodes that may be serving, this one among them; at least 1
+    [[nodiscard]] std::size_t counted_nodes(time_point now) const;
+
+    /*!
+    @brief the greatest number of nodes that were counted at once lately
+
+    For bounds over time, in which a node that has left still weighs.
+    */
+    [[nodiscard]] std::size_t recent_nodes(time_point now);
+
+    /// demand at all other nodes that may be serving, by account
+    [[nodiscard]] std::vector<account_demand> demand_elsewhere(time_point now) const;
+
+    /// addresses of the counted nodes, without this one
+    [[nodiscard]] std::vector<endpoint> peers(time_point now) const;
+
+  private:
+    struct known_node
+    {
+        node_record m_record;
+        time_point m_heard_at; ///< when its record last grew
+    };
+
+    [[nodiscard]] bool is_counted(const known_node& node, time_point now) const;
+    void update_silence(time_point now);
+    void take(const node_record& record, time_point now);
+    [[nodiscard]] roster_notice make_notice(random_source& random, bool wants_reply, time_point now) const;
+
+    endpoint m_self;
+    node_record m_own;
+    std::vector<endpoint> m_seeds;
+    roster_settings m_settings;
+    time_point m_started_at;
+    time_point m_next_gossip;
+    std::map<endpoint, known_node> m_nodes;
+    duration m_counted_silence;
+    std::size_t m_recent_nodes{0};
+    time_point m_recent_at{};
+    random_source m_reply_random;
+};
+
+} // namespace teasellead
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -184,6 +184,26 @@
     target.set_retry_after_ms(to_wire(content.m_retry_after));
 }
 
+void put(wire::PeerMessage& wire, const roster_notice& content)
+{
+    wire::RosterNotice& target = *wire.mutable_roster_notice();
+    target.set_wants_reply(content.m_wants_reply);
+    for (const node_record& record : content.m_records)
+    {
+        wire::NodeRecord& added = *target.add_records();
+        added.set_address(record.m_address.packed());
+        added.set_incarnation(record.m_incarnation);
+        added.set_sequence(record.m_sequence);
+        added.set_leaving(record.m_leaving);
+        for (const account_demand& demand : record.m_demand)
+        {
+            wire::AccountDemand& entry = *added.add_demand();
+            entry.set_client_account(demand.m_account);
+            entry.set_rate(static_cast<float>(demand.m_rate));
+        }
+    }
+}
+
 hello take(const wire::Hello& source)
 {
     return hello{source.sequence(),
@@ -281,6 +301,23 @@
                          std::chrono::milliseconds{source.retry_after_ms()}};
 }
 
+roster_notice take(const wire::RosterNotice& source)
+{
+    roster_notice result;
+    result.m_wants_reply = source.wants_reply();
+    for (const wire::NodeRecord& record : source.records())
+    {
+        node_record added{
+            unpack(record.address()), record.incarnation(), record.sequence(), record.leaving(), {}};
+        for (const wire::AccountDemand& demand : record.demand())
+        {
+            added.m_demand.push_back({demand.client_account(), finite(demand.rate())});
+        }
+        result.m_records.push_back(std::move(added));
+    }
+    return result;
+}
+
 peer_content take_content(const wire::PeerMessage& wire)
 {
     switch (wire.content_case())
@@ -312,6 +349,8 @@
     case wire::PeerMessage::kShareReturn:
         return share_return{wire.share_return().lease(), wire.share_return().client_account(),
                             finite(wire.share_return().tokens())};
+    case wire::PeerMessage::kRosterNotice:
+        return take(wire.roster_notice());
     case wire::PeerMessage::CONTENT_NOT_SET:
         break;
     }
--- /dev/null
+++ b/packages/fleet/src/roster.cpp
@@ -0,0 +1,209 @@
+#include "teasellead/fleet/roster.hpp"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace teasellead
+{
+
+namespace
+{
+
+// silence after which a node may be gone; gossip takes a few periods to bring its records
+constexpr int suspicious_periods = 6;
+constexpr duration recent_nodes_memory = std::chrono::seconds{30};
+
+} // namespace
+
+roster::roster(endpoint self, node_incarnation incarnation, std::vector<endpoint> seeds,
+               roster_settings settings, time_point now)
+    : m_self(self), m_own{self, incarnation, 0, false, {}}, m_seeds(std::move(seeds)), m_settings(settings),
+      m_started_at(now), m_next_gossip(now), m_counted_silence(settings.m_silence),
+      m_reply_random(incarnation)
+{
+    std::erase(m_seeds, m_self);
+}
+
+void roster::take(const node_record& record, time_point now)
+{
+    if (record.m_address == m_self)
+    {
+        // an earlier process at this address; the records of this one must be newer
+        m_own.m_incarnation = std::max(m_own.m_incarnation,
+                                       record.m_incarnation + (record.m_sequence > m_own.m_sequence ? 1 : 0));
+        return;
+    }
+    const auto known = m_nodes.find(record.m_address);
+    if (known == m_nodes.end())
+    {
+        m_nodes.emplace(record.m_address, known_node{record, now});
+        return;
+    }
+    const node_record& old = known->second.m_record;
+    const bool is_newer = record.m_incarnation > old.m_incarnation ||
+                          (record.m_incarnation == old.m_incarnation && record.m_sequence > old.m_sequence);
+    if (is_newer)
+    {
+        known->second = known_node{record, now};
+    }
+}
+
+std::vector<outgoing_message> roster::on_notice(const endpoint& sender, const roster_notice& notice,
+                                                time_point now)
+{
+    for (const node_record& record : notice.m_records)
+    {
+        take(record, now);
+    }
+    if (!notice.m_wants_reply || sender == m_self)
+    {
+        return {};
+    }
+    return {{sender, make_notice(m_reply_random, false, now)}};
+}
+
+void roster::update_silence(time_point now)
+{
+    const duration suspicious = suspicious_periods * m_settings.m_gossip_period;
+    std::size_t silent = 0;
+    std::size_t heard = 0;
+    for (const auto& [address, node] : m_nodes)
+    {
+        const duration silence = now - node.m_heard_at;
+        if (node.m_record.m_leaving || silence > m_settings.m_partition_silence)
+        {
+            continue;
+        }
+        ++(silence > suspicious ? silent : heard);
+    }
+    m_counted_silence = silent > heard ? m_settings.m_partition_silence : m_settings.m_silence;
+    std::erase_if(m_nodes, [this, now](const auto& entry)
+                  { return now - entry.second.m_heard_at > m_settings.m_partition_silence; });
+}
+
+std::vector<outgoing_message> roster::on_tick(std::vector<account_demand> demand, bool leaving,
+                                              random_source& random, time_point now)
+{
+    const bool is_news = leaving && !m_own.m_leaving;
+    if (now < m_next_gossip && !is_news)
+    {
+        return {};
+    }
+    m_next_gossip = now + m_settings.m_gossip_period;
+    ++m_own.m_sequence;
+    m_own.m_leaving = leaving;
+    m_own.m_demand = std::move(demand);
+    update_silence(now);
+    std::vector<endpoint> receivers = peers(now);
+    std::shuffle(receivers.begin(), receivers.end(), random.engine());
+    receivers.resize(std::min(receivers.size(), m_settings.m_fanout));
+    // without a seed now and then, two groups that were parted would never meet again
+    if (!m_seeds.empty())
+    {
+        const endpoint seed = m_seeds[random.below(m_seeds.size())];
+        constexpr std::uint64_t seed_interval = 6;
+        const bool is_due = !has_joined(now) || m_nodes.empty() || m_own.m_sequence % seed_interval == 0;
+        if (is_due && std::find(receivers.begin(), receivers.end(), seed) == receivers.end())
+        {
+            receivers.push_back(seed);
+        }
+    }
+    const bool is_new = now - m_started_at < m_settings.m_settling_time;
+    std::vector<outgoing_message> result;
+    for (const endpoint& receiver : receivers)
+    {
+        result.push_back({receiver, make_notice(random, is_new, now)});
+    }
+    return result;
+}
+
+roster_notice roster::make_notice(random_source& random, bool wants_reply, time_point now) const
+{
+    std::vector<const known_node*> fresh;
+    for (const auto& [address, node] : m_nodes)
+    {
+        if (now - node.m_heard_at < suspicious_periods * m_settings.m_gossip_period)
+        {
+            fresh.push_back(&node);
+        }
+    }
+    std::shuffle(fresh.begin(), fresh.end(), random.engine());
+    fresh.resize(std::min(fresh.size(), m_settings.m_max_records));
+    roster_notice notice;
+    notice.m_wants_reply = wants_reply;
+    notice.m_records.push_back(m_own);
+    for (const known_node* node : fresh)
+    {
+        notice.m_records.push_back(node->m_record);
+    }
+    return notice;
+}
+
+bool roster::has_joined(time_point now) const
+{
+    return !m_nodes.empty() || now - m_started_at >= m_settings.m_join_time;
+}
+
+bool roster::is_counted(const known_node& node, time_point now) const
+{
+    return now - node.m_heard_at <= m_counted_silence;
+}
+
+std::size_t roster::counted_nodes(time_point now) const
+{
+    const auto counted =
+        std::count_if(m_nodes.begin(), m_nodes.end(),
+                      [this, now](const auto& entry) { return is_counted(entry.second, now); });
+    const std::size_t nodes = static_cast<std::size_t>(counted) + 1;
+    const bool is_settling = now - m_started_at < m_settings.m_settling_time;
+    return is_settling ? std::max(nodes, m_settings.m_least_nodes_at_start) : nodes;
+}
+
+std::size_t roster::recent_nodes(time_point now)
+{
+    const std::size_t counted = counted_nodes(now);
+    if (counted >= m_recent_nodes || now - m_recent_at > recent_nodes_memory)
+    {
+        m_recent_nodes = counted;
+        m_recent_at = now;
+    }
+    return m_recent_nodes;
+}
+
+std::vector<account_demand> roster::demand_elsewhere(time_point now) const
+{
+    std::unordered_map<std::string, double> sums;
+    for (const auto& [address, node] : m_nodes)
+    {
+        if (!is_counted(node, now))
+        {
+            continue;
+        }
+        for (const account_demand& demand : node.m_record.m_demand)
+        {
+            sums[demand.m_account] += demand.m_rate;
+        }
+    }
+    std::vector<account_demand> result;
+    result.reserve(sums.size());
+    for (const auto& [name, rate] : sums)
+    {
+        result.push_back({name, rate});
+    }
+    return result;
+}
+
+std::vector<endpoint> roster::peers(time_point now) const
+{
+    std::vector<endpoint> result;
+    for (const auto& [address, node] : m_nodes)
+    {
+        if (is_counted(node, now) && !node.m_record.m_leaving)
+        {
+            result.push_back(address);
+        }
+    }
+    return result;
+}
+
+} // namespace teasellead
--- a/packages/fleet/src/zmq_peer_link.cpp
+++ b/packages/fleet/src/zmq_peer_link.cpp
@@ -256,6 +256,11 @@
         std::erase_if(m_senders, [&kept](const auto& sender) { return kept.count(sender.first) == 0; });
     }
 
+    [[nodiscard]] int descriptor() override
+    {
+        return m_receiver.get(zmq::sockopt::fd);
+    }
+
     void wake() override
     {
         const std::uint64_t one = 1;
--- /dev/null
+++ b/packages/forwarding/src/dispatch.cpp
@@ -0,0 +1,445 @@
+#include "teasellead/forwarding/dispatch.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teasellead::forwarding
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr unsigned first_server_error = 500;
+// parts of the latency objective
+constexpr double partial_part = 0.80;
+constexpr double room_wait_part = 0.22;
+constexpr double scatter_hedge_part = 0.25;
+constexpr double single_hedge_part = 0.6;
+constexpr double hedge_latency_multiple = 2.5;
+constexpr int silence_multiple = 2;
+constexpr duration room_check_interval = milliseconds{4};
+constexpr milliseconds busy_retry_after{100};
+constexpr milliseconds unreachable_retry_after{400};
+
+duration part_of(duration whole, double part)
+{
+    return std::chrono::duration_cast<duration>(whole * part);
+}
+
+} // namespace
+
+std::string_view to_string(failure_reason reason) noexcept
+{
+    switch (reason)
+    {
+    case failure_reason::no_upstream:
+        return "no_upstream";
+    case failure_reason::overloaded:
+        return "overloaded";
+    case failure_reason::upstreams:
+        return "upstreams_failed";
+    case failure_reason::timed_out:
+        return "timed_out";
+    }
+    return "unknown";
+}
+
+dispatch::dispatch(dispatch_request request, dispatch_context& context, time_point now)
+    : m_request(std::move(request)), m_context(&context), m_began(now),
+      m_partial_from(now + part_of(m_request.m_objective, partial_part)),
+      m_room_until(now + part_of(m_request.m_objective, room_wait_part)), m_legs(m_request.m_services.size())
+{
+}
+
+std::vector<dispatch_action> dispatch::start(time_point now)
+{
+    actions result;
+    for (const std::string& service : m_request.m_services)
+    {
+        m_context->m_budget.on_request(service, now);
+    }
+    // a scatter that can't reach its coverage isn't begun
+    if (m_request.m_scatter)
+    {
+        const auto reachable = std::count_if(m_request.m_services.begin(), m_request.m_services.end(),
+                                             [this, now](const std::string& service)
+                                             { return m_context->m_directory.has_candidates(service, now); });
+        const double share = static_cast<double>(reachable) / static_cast<double>(m_legs.size());
+        if (reachable == 0 || share < m_request.m_scatter->m_least_coverage)
+        {
+            finish(no_answer(failure_reason::no_upstream), result);
+            return result;
+        }
+    }
+    for (std::size_t i = 0; i < m_legs.size(); ++i)
+    {
+        try_send(m_legs[i], i, now, result);
+    }
+    conclude(now, result);
+    return result;
+}
+
+void dispatch::try_send(leg& target, std::size_t index, time_point now, actions& result)
+{
+    if (target.m_sends >= m_request.m_max_attempts)
+    {
+        return;
+    }
+    const std::string& service = m_request.m_services[index];
+    const auto chosen =
+        m_context->m_directory.choose(service, target.m_tried, m_context->m_room, m_context->m_random, now);
+    if (const auto* reason = std::get_if<no_upstream>(&chosen))
+    {
+        on_no_upstream(target, *reason, now);
+        return;
+    }
+    const bool is_extra = target.m_sends > 0;
+    if (is_extra && !m_context->m_budget.try_spend(service, now))
+    {
+        on_no_upstream(target, no_upstream::all_tried, now);
+        return;
+    }
+    const shared_upstream& selected = std::get<shared_upstream>(chosen);
+    target.m_waits_for_room = false;
+    target.m_tried.push_back(selected);
+    ++target.m_sends;
+    ++target.m_active;
+    target.m_next_check = now + hedge_delay(target);
+    m_attempts.push_back({index, selected, now});
+    selected->on_start(now);
+    result.emplace_back(send_attempt{m_attempts.size() - 1, selected});
+}
+
+void dispatch::on_no_upstream(leg& target, no_upstream reason, time_point now)
+{
+    if (target.m_active > 0)
+    {
+        target.m_next_check = time_point::max();
+        return;
+    }
+    if (reason == no_upstream::all_busy && now < m_room_until)
+    {
+        target.m_waits_for_room = true;
+        target.m_next_check = std::min(now + room_check_interval, m_room_until);
+        return;
+    }
+    const bool is_full = reason == no_upstream::all_busy;
+    const failure_reason known = target.m_sends > 0 ? failure_reason::upstreams : failure_reason::no_upstream;
+    end_leg(target, leg_state::missing, is_full ? failure_reason::overloaded : known);
+}
+
+duration dispatch::hedge_delay(const leg& target) const
+{
+    const double part = m_request.m_scatter ? scatter_hedge_part : single_hedge_part;
+    const duration usual = target.m_tried.back()->mean_latency();
+    return std::max(part_of(m_request.m_objective, part), part_of(usual, hedge_latency_multiple));
+}
+
+std::vector<dispatch_action> dispatch::on_reply(attempt_number attempt, upstream_reply reply, time_point now)
+{
+    actions result;
+    attempt_state& answered = m_attempts.at(attempt);
+    if (!answered.m_is_active)
+    {
+        return result;
+    }
+    answered.m_is_active = false;
+    leg& target = m_legs[answered.m_leg];
+    --target.m_active;
+    answered.m_verdict = verdict::ran;
+    const bool is_success = reply.is_success();
+    const bool may_improve = may_repeat() && reply.m_status >= first_server_error;
+    if (is_success)
+    {
+        answered.m_upstream->on_reply(answered.m_began, reply.m_load, now);
+    }
+    else
+    {
+        answered.m_upstream->on_failure(answered.m_began, attempt_failure::failed, now);
+    }
+    if (target.m_state != leg_state::open || m_result)
+    {
+        return result;
+    }
+    target.m_reply = std::move(reply);
+    // a failure is no part of a scatter's answer, but a single request's caller receives it
+    if (is_success || (!m_request.m_scatter && !may_improve))
+    {
+        end_leg(target, leg_state::answered, failure_reason::upstreams);
+        release_leg(answered.m_leg, result);
+    }
+    else
+    {
+        retry_or_miss(answered.m_leg, failure_reason::upstreams, now, result);
+    }
+    conclude(now, result);
+    return result;
+}
+
+std::vector<dispatch_action> dispatch::on_failure(attempt_number attempt, attempt_failure failure,
+                                                  time_point now)
+{
+    actions result;
+    attempt_state& failed = m_attempts.at(attempt);
+    if (!failed.m_is_active)
+    {
+        return result;
+    }
+    failed.m_is_active = false;
+    leg& target = m_legs[failed.m_leg];
+    --target.m_active;
+    if (failure == attempt_failure::not_sent)
+    {
+        // says nothing about the upstream
+        failed.m_upstream->on_cancelled(failed.m_began);
+    }
+    else
+    {
+        failed.m_upstream->on_failure(failed.m_began, failure, now);
+    }
+    failed.m_verdict = proves_not_run(failure) ? verdict::not_run : verdict::may_have_run;
+    const bool never_arrived =
+        failure == attempt_failure::not_connected || failure == attempt_failure::not_sent;
+    if (never_arrived)
+    {
+        --target.m_sends;
+    }
+    if (target.m_state != leg_state::open || m_result)
+    {
+        return result;
+    }
+    retry_or_miss(failed.m_leg, failure_reason::upstreams, now, result);
+    conclude(now, result);
+    return result;
+}
+
+void dispatch::on_abandoned(attempt_number attempt, time_point now)
+{
+    attempt_state& ended = m_attempts.at(attempt);
+    if (!ended.m_is_active)
+    {
+        return;
+    }
+    ended.m_is_active = false;
+    --m_legs[ended.m_leg].m_active;
+    const duration usual = std::max(ended.m_upstream->mean_latency(), part_of(m_request.m_objective, 1.0));
+    if (now - ended.m_began > usual * silence_multiple)
+    {
+        ended.m_upstream->on_failure(ended.m_began, attempt_failure::abandoned, now);
+        return;
+    }
+    ended.m_upstream->on_cancelled(ended.m_began);
+}
+
+void dispatch::retry_or_miss(std::size_t index, failure_reason reason, time_point now, actions& result)
+{
+    leg& target = m_legs[index];
+    target.m_reason = reason;
+    const bool is_settled = may_repeat() || current_verdict() == verdict::not_run;
+    if (is_settled && target.m_sends < m_request.m_max_attempts)
+    {
+        try_send(target, index, now, result);
+        return;
+    }
+    if (target.m_active == 0)
+    {
+        end_leg(target, leg_state::missing, reason);
+    }
+}
+
+void dispatch::end_leg(leg& target, leg_state state, failure_reason reason)
+{
+    target.m_state = state;
+    target.m_reason = reason;
+    target.m_waits_for_room = false;
+}
+
+void dispatch::release_leg(std::size_t index, actions& result)
+{
+    for (attempt_number i = 0; i < m_attempts.size(); ++i)
+    {
+        if (m_attempts[i].m_leg == index && m_attempts[i].m_is_active)
+        {
+            result.emplace_back(release_attempt{i});
+        }
+    }
+}
+
+std::vector<dispatch_action> dispatch::on_time(time_point now)
+{
+    actions result;
+    m_checked_at = now;
+    if (m_result)
+    {
+        return result;
+    }
+    if (now >= m_request.m_end)
+    {
+        for (leg& target : m_legs)
+        {
+            if (target.m_state == leg_state::open)
+            {
+                end_leg(target, leg_state::missing, failure_reason::timed_out);
+            }
+        }
+    }
+    for (std::size_t i = 0; i < m_legs.size(); ++i)
+    {
+        check(i, now, result);
+    }
+    conclude(now, result);
+    return result;
+}
+
+void dispatch::check(std::size_t index, time_point now, actions& result)
+{
+    leg& target = m_legs[index];
+    if (target.m_state != leg_state::open || now < target.m_next_check)
+    {
+        return;
+    }
+    if (target.m_waits_for_room)
+    {
+        try_send(target, index, now, result);
+        return;
+    }
+    // the second attempt of a slow one
+    target.m_next_check = time_point::max();
+    if (may_repeat() && !target.m_hedged)
+    {
+        target.m_hedged = true;
+        try_send(target, index, now, result);
+    }
+}
+
+std::vector<dispatch_action> dispatch::cancel()
+{
+    actions result;
+    for (std::size_t i = 0; i < m_legs.size(); ++i)
+    {
+        end_leg(m_legs[i], leg_state::missing, failure_reason::timed_out);
+        release_leg(i, result);
+    }
+    return result;
+}
+
+time_point dispatch::next_wakeup() const
+{
+    time_point result = m_request.m_end;
+    if (m_request.m_scatter && m_checked_at < m_partial_from)
+    {
+        result = std::min(result, m_partial_from);
+    }
+    for (const leg& target : m_legs)
+    {
+        if (target.m_state == leg_state::open)
+        {
+            result = std::min(result, target.m_next_check);
+        }
+    }
+    return result;
+}
+
+verdict dispatch::current_verdict() const noexcept
+{
+    verdict result = verdict::not_run;
+    for (const attempt_state& each : m_attempts)
+    {
+        result = combine(result, each.m_verdict);
+    }
+    return result;
+}
+
+void dispatch::conclude(time_point now, actions& result)
+{
+    if (m_result)
+    {
+        return;
+    }
+    if (m_request.m_scatter)
+    {
+        conclude_scatter(now, result);
+    }
+    else
+    {
+        conclude_one(now, result);
+    }
+}
+
+void dispatch::conclude_one(time_point now, actions& result)
+{
+    leg& only = m_legs.front();
+    const bool is_late = now >= m_request.m_end;
+    if (only.m_state == leg_state::open && !is_late)
+    {
+        return;
+    }
+    if (only.m_reply)
+    {
+        finish(forwarded{std::move(*only.m_reply)}, result);
+        return;
+    }
+    finish(no_answer(only.m_reason), result);
+}
+
+void dispatch::conclude_scatter(time_point now, actions& result)
+{
+    const auto count = [this](leg_state state)
+    {
+        return static_cast<std::size_t>(std::count_if(
+            m_legs.begin(), m_legs.end(), [state](const leg& each) { return each.m_state == state; }));
+    };
+    const std::size_t answered = count(leg_state::answered);
+    const std::size_t open = count(leg_state::open);
+    const double shards = static_cast<double>(m_legs.size());
+    const double least = m_request.m_scatter->m_least_coverage;
+    const bool is_covered = answered > 0 && static_cast<double>(answered) / shards >= least;
+    const bool is_reachable = static_cast<double>(answered + open) / shards >= least && answered + open > 0;
+    const bool is_done = open == 0 || (is_covered && now >= m_partial_from);
+    if (is_covered && is_done)
+    {
+        gathered outcome;
+        for (leg& each : m_legs)
+        {
+            if (each.m_state == leg_state::answered)
+            {
+                outcome.m_parts.push_back(std::move(*each.m_reply));
+            }
+        }
+        outcome.m_missing = m_legs.size() - answered;
+        outcome.m_top = m_request.m_scatter->m_top;
+        finish(std::move(outcome), result);
+        return;
+    }
+    if (!is_reachable)
+    {
+        const auto missing = std::find_if(m_legs.begin(), m_legs.end(),
+                                          [](const leg& each) { return each.m_state == leg_state::missing; });
+        finish(no_answer(missing == m_legs.end() ? failure_reason::no_upstream : missing->m_reason), result);
+    }
+}
+
+void dispatch::finish(dispatch_result outcome, actions& result)
+{
+    m_result = std::move(outcome);
+    for (attempt_number i = 0; i < m_attempts.size(); ++i)
+    {
+        if (m_attempts[i].m_is_active)
+        {
+            result.emplace_back(release_attempt{i});
+        }
+    }
+}
+
+unanswered dispatch::no_answer(failure_reason reason) const
+{
+    const milliseconds base =
+        reason == failure_reason::overloaded ? busy_retry_after : unreachable_retry_after;
+    const auto spread =
+        static_cast<std::int64_t>(static_cast<double>(base.count()) * m_context->m_random.unit());
+    return unanswered{reason, current_verdict(), base + milliseconds{spread}};
+}
+
+} // namespace teasellead::forwarding
--- /dev/null
+++ b/packages/forwarding/src/upstream.cpp
@@ -0,0 +1,153 @@
+#include "teasellead/forwarding/upstream.hpp"
+
+#include <algorithm>
+
+namespace teasellead::forwarding
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr duration default_latency = milliseconds{15};
+constexpr int latency_memory = 8; // replies
+constexpr double failure_memory = 0.15;
+constexpr double failure_weight = 4.0;
+constexpr std::uint32_t failures_before_ejection = 3;
+constexpr duration min_ejection = milliseconds{250};
+constexpr duration max_ejection = milliseconds{4000};
+constexpr duration report_lifetime = milliseconds{250};
+constexpr duration silence_floor = milliseconds{12};
+constexpr double silence_multiple = 2.5;
+constexpr duration silence_penalty = milliseconds{120};
+constexpr double cold_factor = 1.6;
+
+} // namespace
+
+std::string_view to_string(attempt_failure failure) noexcept
+{
+    switch (failure)
+    {
+    case attempt_failure::not_connected:
+        return "not_connected";
+    case attempt_failure::not_sent:
+        return "not_sent";
+    case attempt_failure::shed:
+        return "shed";
+    case attempt_failure::wrong_instance:
+        return "wrong_instance";
+    case attempt_failure::broken:
+        return "broken";
+    case attempt_failure::failed:
+        return "failed";
+    case attempt_failure::abandoned:
+        return "abandoned";
+    }
+    return "unknown";
+}
+
+upstream::upstream(upstream_entry entry, time_point now)
+    : m_entry(std::move(entry)), m_cold_until(now + m_entry.m_warm_up_left)
+{
+}
+
+void upstream::update(upstream_entry entry, time_point now)
+{
+    if (entry.m_warm_up_left > milliseconds::zero())
+    {
+        m_cold_until = now + entry.m_warm_up_left;
+    }
+    m_entry = std::move(entry);
+    m_is_gone = false;
+}
+
+bool upstream::is_ejected(time_point now) const noexcept
+{
+    return now < m_ejected_until;
+}
+
+void upstream::on_start(time_point now)
+{
+    m_started.push_back(now);
+    if (m_failures_in_row >= failures_before_ejection)
+    {
+        // one trial at a time after an ejection
+        m_ejected_until = now + m_ejection;
+    }
+}
+
+void upstream::finish(time_point began)
+{
+    const auto found = std::find(m_started.begin(), m_started.end(), began);
+    if (found != m_started.end())
+    {
+        m_started.erase(found);
+    }
+}
+
+void upstream::on_cancelled(time_point began)
+{
+    finish(began);
+}
+
+void upstream::on_reply(time_point began, const std::optional<reported_load>& load, time_point now)
+{
+    finish(began);
+    const duration latency = now - began;
+    m_mean_latency = m_mean_latency == duration::zero()
+                         ? latency
+                         : m_mean_latency + (latency - m_mean_latency) / latency_memory;
+    m_failure_ratio *= 1.0 - failure_memory;
+    m_failures_in_row = 0;
+    m_ejected_until = time_point{};
+    m_ejection = duration::zero();
+    if (load)
+    {
+        const std::uint32_t busy = load->m_running + load->m_waiting;
+        m_reported_waiting = busy > load->m_slots ? busy - load->m_slots : 0;
+        m_reported_at = now;
+    }
+}
+
+void upstream::on_failure(time_point began, attempt_failure failure, time_point now)
+{
+    finish(began);
+    m_failure_ratio += failure_memory * (1.0 - m_failure_ratio);
+    ++m_failures_in_row;
+    const bool is_unreachable =
+        failure == attempt_failure::not_connected || failure == attempt_failure::wrong_instance;
+    if (is_unreachable || m_failures_in_row >= failures_before_ejection)
+    {
+        m_failures_in_row = std::max(m_failures_in_row, failures_before_ejection);
+        m_ejection = std::clamp(2 * m_ejection, min_ejection, max_ejection);
+        m_ejected_until = now + m_ejection;
+    }
+}
+
+duration upstream::expected_latency(time_point now) const noexcept
+{
+    const duration base = m_mean_latency == duration::zero() ? default_latency : m_mean_latency;
+    double factor = 1.0 + failure_weight * m_failure_ratio;
+    const double slots = std::max<std::uint32_t>(m_entry.m_capacity, 1);
+    const double waiting = now - m_reported_at < report_lifetime ? m_reported_waiting : 0.0;
+    const double local = in_flight();
+    factor += waiting / slots + std::max(0.0, local + 1.0 - slots) / slots + 0.25 * local / slots;
+    if (is_cold(now))
+    {
+        factor *= cold_factor;
+    }
+    duration result = std::chrono::duration_cast<duration>(base * factor);
+    if (!m_started.empty())
+    {
+        const duration usual =
+            std::max(silence_floor, std::chrono::duration_cast<duration>(base * silence_multiple));
+        if (now - m_started.front() > usual)
+        {
+            result += silence_penalty;
+        }
+    }
+    return result;
+}
+
+} // namespace teasellead::forwarding
--- /dev/null
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -0,0 +1,212 @@
+#include "teasellead/forwarding/upstream_directory.hpp"
+
+#include <algorithm>
+
+namespace teasellead::forwarding
+{
+
+namespace
+{
+
+// how much later an upstream of another data centre may be expected to reply and still be equal
+constexpr duration remote_penalty = std::chrono::milliseconds{2};
+constexpr double jitter = 0.15;
+// reports of instances that have left are kept up to this many
+constexpr std::size_t max_reports_per_upstream = 4;
+constexpr std::size_t min_reports = 256;
+
+bool contains(std::span<const shared_upstream> tried, const shared_upstream& candidate)
+{
+    return std::find(tried.begin(), tried.end(), candidate) != tried.end();
+}
+
+} // namespace
+
+bool upstream_directory::is_outdated(const upstream_entry& entry) const
+{
+    const auto known = m_reports.find(entry.m_instance);
+    if (known == m_reports.end() || entry.m_incarnation == 0)
+    {
+        return false;
+    }
+    const report_number& last = known->second;
+    return entry.m_incarnation < last.m_incarnation ||
+           (entry.m_incarnation == last.m_incarnation && entry.m_sequence < last.m_sequence);
+}
+
+void upstream_directory::insert(const upstream_entry& entry, time_point now)
+{
+    // a report may arrive after a later one of the same process
+    if (is_outdated(entry))
+    {
+        return;
+    }
+    if (m_reports.size() > max_reports_per_upstream * (m_by_instance.size() + 1) + min_reports)
+    {
+        std::erase_if(m_reports, [this](const auto& each) { return m_by_instance.count(each.first) == 0; });
+    }
+    m_reports[entry.m_instance] = {entry.m_incarnation, entry.m_sequence};
+    m_lapsed.erase(entry.m_instance);
+    const auto known = m_by_instance.find(entry.m_instance);
+    if (known != m_by_instance.end())
+    {
+        const upstream_entry& old = known->second->entry();
+        const bool is_same_process = old.m_incarnation == entry.m_incarnation &&
+                                     old.m_address == entry.m_address && old.m_service == entry.m_service;
+        if (is_same_process)
+        {
+            known->second->update(entry, now);
+            return;
+        }
+        erase(entry.m_instance);
+    }
+    const auto added = std::make_shared<upstream>(entry, now);
+    m_by_instance.emplace(entry.m_instance, added);
+    m_by_service[entry.m_service].push_back(added);
+}
+
+void upstream_directory::erase(const std::string& instance)
+{
+    const auto known = m_by_instance.find(instance);
+    if (known == m_by_instance.end())
+    {
+        return;
+    }
+    const shared_upstream removed = known->second;
+    removed->set_gone();
+    const auto group = m_by_service.find(removed->entry().m_service);
+    std::erase(group->second, removed);
+    if (group->second.empty())
+    {
+        m_by_service.erase(group);
+    }
+    m_by_instance.erase(known);
+    m_lapsed.erase(instance);
+}
+
+void upstream_directory::on_change(const directory_item& item, time_point now)
+{
+    if (item.m_entry)
+    {
+        insert(*item.m_entry, now);
+        return;
+    }
+    erase(item.m_instance);
+}
+
+void upstream_directory::on_removed(const std::string& instance, bool keep_lapsed)
+{
+    const auto known = m_by_instance.find(instance);
+    if (known == m_by_instance.end())
+    {
+        return;
+    }
+    // one that was leaving has left
+    if (keep_lapsed && !known->second->is_leaving())
+    {
+        m_lapsed.insert(instance);
+        return;
+    }
+    erase(instance);
+}
+
+void upstream_directory::on_listing(const std::vector<directory_item>& items, bool keep_lapsed,
+                                    time_point now)
+{
+    std::set<std::string> listed;
+    for (const directory_item& item : items)
+    {
+        listed.insert(item.m_instance);
+        on_change(item, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [instance, known] : m_by_instance)
+    {
+        if (listed.count(instance) == 0)
+        {
+            missing.push_back(instance);
+        }
+    }
+    for (const std::string& instance : missing)
+    {
+        on_removed(instance, keep_lapsed);
+    }
+}
+
+void upstream_directory::drop_lapsed()
+{
+    const std::set<std::string> lapsed = std::move(m_lapsed);
+    m_lapsed.clear();
+    for (const std::string& instance : lapsed)
+    {
+        erase(instance);
+    }
+}
+
+void upstream_directory::set_evacuated(std::set<std::string> data_centres)
+{
+    m_evacuated = std::move(data_centres);
+}
+
+bool upstream_directory::may_receive(const upstream& candidate) const
+{
+    return !candidate.is_leaving() && m_evacuated.count(candidate.entry().m_data_centre) == 0;
+}
+
+std::variant<shared_upstream, no_upstream>
+upstream_directory::choose(const std::string& service, std::span<const shared_upstream> tried,
+                           const room_check& room, random_source& random, time_point now) const
+{
+    const auto group = m_by_service.find(service);
+    if (group == m_by_service.end())
+    {
+        return no_upstream::none_known;
+    }
+    shared_upstream best;
+    duration best_latency = duration::max();
+    no_upstream reason = no_upstream::none_known;
+    for (const shared_upstream& candidate : group->second)
+    {
+        if (!may_receive(*candidate) || candidate->is_ejected(now))
+        {
+            continue;
+        }
+        if (contains(tried, candidate))
+        {
+            reason = reason == no_upstream::none_known ? no_upstream::all_tried : reason;
+            continue;
+        }
+        if (!room(*candidate))
+        {
+            reason = no_upstream::all_busy;
+            continue;
+        }
+        duration expected = candidate->expected_latency(now);
+        if (candidate->entry().m_data_centre != m_own_data_centre)
+        {
+            expected += remote_penalty;
+        }
+        expected += std::chrono::duration_cast<duration>(expected * (jitter * random.unit()));
+        if (expected < best_latency)
+        {
+            best = candidate;
+            best_latency = expected;
+        }
+    }
+    if (!best)
+    {
+        return reason;
+    }
+    return best;
+}
+
+bool upstream_directory::has_candidates(const std::string& service, time_point now) const
+{
+    const auto group = m_by_service.find(service);
+    return group != m_by_service.end() &&
+           std::any_of(group->second.begin(), group->second.end(),
+                       [this, now](const shared_upstream& candidate)
+                       { return may_receive(*candidate) && !candidate->is_ejected(now); });
+}
+
+} // namespace teasellead::forwarding
--- /dev/null
+++ b/packages/runtime/include/teasellead/runtime/client_connection.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "teasellead/forwarding/upstream.hpp"
+#include "teasellead/runtime/asio.hpp"
+#include "teasellead/runtime/http_message.hpp"
+
+namespace teasellead::runtime
+{
+
+/// a whole response that was received
+struct received_response
+{
+    http_response m_response;
+    std::string m_connection; ///< value of its connection field
+};
+
+/// end of one exchange
+using exchange_result = std::variant<received_response, forwarding::attempt_failure>;
+
+/// one request on a connection
+struct exchange
+{
+    std::string m_bytes;   ///< the request as it is sent
+    bool m_is_head{false}; ///< whether the response has no body
+    /// asked just before the first byte leaves; nothing allows it always
+    std::function<bool()> m_may_send;
+    /// whether a response belongs to this request; one that doesn't is skipped
+    std::function<bool(const http_response&)> m_is_own;
+    std::function<void(exchange_result)> m_on_end;
+};
+
+/*!
+@brief a kept connection to an HTTP server with one request at a time
+
+Bytes that nobody asked for, a response that doesn't end cleanly and a request whose response came before it
+was sent whole end the connection. All functions must be called by the thread that runs the loop.
+*/
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+  public:
+    /*!
+    @brief creates a closed connection
+
+    @param[in] loop             event loop
+    @param[in] clock            time of @ref usable_until
+    @param[in] address          server
+    @param[in] connect_timeout  longest time to connect
+    */
+    client_connection(asio::io_context& loop, const monotonic_clock& clock, const endpoint& address,
+                      std::chrono::milliseconds connect_timeout);
+
+    /// called once when the connection is closed, for whatever reason
+    void on_closed(std::function<void()> callback)
+    {
+        m_on_closed = std::move(callback);
+    }
+
+    /*!
+    @brief sends a request, after connecting if need be
+
+    @pre no exchange is running
+    */
+    void start(exchange next);
+
+    /// ends the connection; a running exchange ends without a call of its function
+    void close();
+
+    /// whether it is open and no exchange is running
+    [[nodiscard]] bool is_idle() const noexcept
+    {
+        return m_state == state::idle;
+    }
+
+    [[nodiscard]] bool is_closed() const noexcept
+    {
+        return m_state == state::closed;
+    }
+
+    /// time by which the server wants an idle connection to be used or closed
+    [[nodiscard]] time_point usable_until() const noexcept
+    {
+        return m_usable_until;
+    }
+
+  private:
+    enum class state
+    {
+        unconnected,
+        connecting,
+        idle,
+        busy,
+        closed
+    };
+
+    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void connect();
+    void on_connected(const boost::system::error_code& error);
+    void send();
+    void on_sent(const boost::system::error_code& error);
+    void read();
+    void on_read(const boost::system::error_code& error, std::size_t bytes);
+    void begin_response();
+    void parse();
+    void on_response();
+    void on_end_of_stream(bool is_clean);
+    void fail();
+    void end(exchange_result result);
+
+    const monotonic_clock& m_clock;
+    tcp::socket m_socket;
+    endpoint m_address;
+    std::chrono::milliseconds m_connect_timeout;
+    asio::steady_timer m_timer;
+    state m_state{state::unconnected};
+    boost::beast::flat_buffer m_buffer;
+    std::optional<parser> m_parser;
+    std::optional<exchange> m_exchange;
+    bool m_is_reading{false};
+    bool m_is_sending{false};
+    bool m_has_sent{false}; ///< whether bytes of the running request may have left
+    time_point m_usable_until{time_point::max()};
+    std::function<void()> m_on_closed;
+};
+
+} // namespace teasellead::runtime
--- a/packages/entry/include/teasellead/entry/decision_log.hpp
+++ b/packages/runtime/include/teasellead/runtime/decision_log.hpp
@@ -26,6 +26,13 @@
     off
 };
 
+/// where log lines go
+enum class log_target
+{
+    standard_error,
+    standard_output ///< never waits for the reader; lines that don't fit are dropped and counted
+};
+
 /// a named value of a log line
 class log_field
 {
@@ -81,12 +88,13 @@
 {
   public:
     /*!
-    @brief creates a log that writes to standard error
+    @brief creates a log
 
     @param[in] format  form of a line
     @param[in] level   lines below this level are left out
+    @param[in] target  where lines go
     */
-    decision_log(log_format format, log_level level);
+    decision_log(log_format format, log_level level, log_target target = log_target::standard_error);
     decision_log(const decision_log&) = delete;
     decision_log& operator=(const decision_log&) = delete;
     ~decision_log();
@@ -103,6 +111,9 @@
     */
     void write(log_level level, std::string_view event, const std::vector<log_field>& fields);
 
+    /// lines that were dropped because the reader was too slow
+    [[nodiscard]] std::uint64_t dropped() const noexcept;
+
   private:
     class implementation;
     std::unique_ptr<implementation> m_implementation;
--- /dev/null
+++ b/packages/runtime/include/teasellead/runtime/http_message.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teasellead/forwarding/dispatch.hpp"
+
+namespace teasellead::runtime
+{
+
+using forwarding::header_field;
+
+/// a whole request as a caller sent it
+struct http_request
+{
+    std::string m_method;
+    std::string m_target; ///< path with an optional query
+    std::vector<header_field> m_fields;
+    std::string m_body;
+    bool m_has_body{false}; ///< whether the caller framed a body, be it empty
+
+    friend bool operator==(const http_request&, const http_request&) = default;
+};
+
+/// a whole response
+struct http_response
+{
+    unsigned m_status{0};
+    std::vector<header_field> m_fields; ///< without those of the connection
+    std::string m_body;
+
+    friend bool operator==(const http_response&, const http_response&) = default;
+};
+
+/// whether two field names are the same; case is ignored
+[[nodiscard]] bool same_field_name(std::string_view lhs, std::string_view rhs) noexcept;
+
+/// value of the first field with a name, or nothing
+[[nodiscard]] std::optional<std::string_view> find_field(const std::vector<header_field>& fields,
+                                                         std::string_view name) noexcept;
+
+/*!
+@brief whether a field concerns one connection only and isn't passed on
+
+@param[in] name  name of the field
+@param[in] listed  value of the message's connection field, which may name more of them
+*/
+[[nodiscard]] bool is_hop_by_hop(std::string_view name, std::string_view listed) noexcept;
+
+/// appends `name: value` and a line end
+void append_field(std::string& text, std::string_view name, std::string_view value);
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/include/teasellead/runtime/peer_gossip.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <functional>
+#include <memory>
+
+#include "teasellead/fleet/peer_link.hpp"
+#include "teasellead/fleet/roster.hpp"
+#include "teasellead/runtime/asio.hpp"
+
+namespace teasellead::runtime
+{
+
+/*!
+@brief exchanges the roster with other nodes over the peer link
+
+All functions must be called by the thread that runs the loop.
+*/
+class peer_gossip
+{
+  public:
+    /*!
+    @brief starts to listen
+
+    @param[in] loop     event loop
+    @param[in] clock    time
+    @param[in] link     link to the peers
+    @param[in] members  the roster; must outlive the object
+    */
+    peer_gossip(asio::io_context& loop, const monotonic_clock& clock, std::unique_ptr<peer_link> link,
+                roster& members);
+    ~peer_gossip();
+    peer_gossip(const peer_gossip&) = delete;
+    peer_gossip& operator=(const peer_gossip&) = delete;
+
+    /// takes what has arrived
+    void receive();
+
+    /// sends messages that the roster asks for
+    void send(const std::vector<outgoing_message>& messages);
+
+    /// closes connections to nodes that are gone
+    void retain();
+
+  private:
+    void wait();
+
+    const monotonic_clock& m_clock;
+    std::unique_ptr<peer_link> m_link;
+    roster& m_members;
+    asio::posix::stream_descriptor m_readable;
+};
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/include/teasellead/runtime/refusals.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+
+#include "teasellead/runtime/http_message.hpp"
+
+namespace teasellead::runtime
+{
+
+inline constexpr unsigned unauthorised = 401;
+inline constexpr unsigned not_found = 404;
+inline constexpr unsigned too_many_requests = 429;
+inline constexpr unsigned service_unavailable = 503;
+
+/*!
+@brief the response to a request that hasn't run and won't
+
+@param[in] status       429 or 503
+@param[in] retry_after  when another request may succeed
+*/
+[[nodiscard]] http_response refusal(unsigned status, std::chrono::milliseconds retry_after);
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/include/teasellead/runtime/request_log.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "teasellead/kernel/clock.hpp"
+#include "teasellead/runtime/decision_log.hpp"
+
+namespace teasellead::runtime
+{
+
+/// how one request ended
+struct request_entry
+{
+    std::string_view m_request_id;
+    std::string_view m_route;
+    std::string_view m_account;
+    std::string_view m_outcome; ///< `forwarded`, `gathered`, `refused`, `failed` or `caller_gone`
+    std::string_view m_reason;
+    unsigned m_status{0};
+    duration m_latency{duration::zero()};
+    std::size_t m_attempts{0};
+    std::size_t m_missing{0};                 ///< shards without a part
+    std::uint64_t m_version{0};               ///< of the declarations that decided
+    duration m_version_age{duration::zero()}; ///< time since they were known to be current
+};
+
+/*!
+@brief writes a line for each request that ended, within a rate, and counts all of them
+
+Requests that weren't served have a rate of their own, so that those that were can't displace them.
+*/
+class request_log
+{
+  public:
+    request_log(decision_log& log, const monotonic_clock& clock) : m_log(log), m_clock(clock)
+    {
+    }
+
+    /// records a request that ended
+    void add(const request_entry& entry);
+
+    /// writes another decision, within the rate of its event
+    void write(log_level level, std::string_view event, const std::vector<log_field>& fields);
+
+    /// counters and latency histograms in the text exposition format
+    [[nodiscard]] std::string exposition() const;
+
+  private:
+    static constexpr std::array<double, 10> bucket_bounds_ms{5, 10, 25, 50, 75, 100, 250, 500, 1000, 5000};
+
+    struct line_rate
+    {
+        double m_tokens{0.0};
+        time_point m_refilled_at{};
+        std::uint64_t m_left_out{0};
+        bool m_is_new{true};
+    };
+
+    struct route_counts
+    {
+        std::map<std::string, std::uint64_t> m_outcomes; ///< by outcome and reason
+        std::array<std::uint64_t, bucket_bounds_ms.size() + 1> m_buckets{};
+        double m_sum_ms{0.0};
+        std::uint64_t m_count{0};
+    };
+
+    [[nodiscard]] bool may_write(std::string_view kind, double lines_per_s);
+
+    decision_log& m_log;
+    const monotonic_clock& m_clock;
+    std::map<std::string, line_rate, std::less<>> m_rates;
+    std::map<std::string, route_counts, std::less<>> m_routes;
+};
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/src/admission.cpp
@@ -0,0 +1,98 @@
+#include "admission.hpp"
+
+#include <algorithm>
+
+#include "teasellead/kernel/overloaded.hpp"
+#include "teasellead/runtime/refusals.hpp"
+
+namespace teasellead::runtime
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr unsigned bad_request = 400;
+// time that the answer takes to the caller
+constexpr milliseconds answer_travel_time{8};
+constexpr milliseconds not_ready_retry_after{500};
+
+rejection reject(http_response response, const forwarding::route* target, const std::string& account,
+                 std::string_view reason)
+{
+    return {std::move(response), target == nullptr ? std::string{} : target->m_name, account, reason};
+}
+
+milliseconds rounded_up(duration length)
+{
+    return std::chrono::ceil<milliseconds>(length);
+}
+
+} // namespace
+
+admission_result request_admission::decide(http_request request, request_terms terms,
+                                           const forwarding::shared_route_table& table, time_point now)
+{
+    if (!table)
+    {
+        return reject(refusal(service_unavailable, not_ready_retry_after), nullptr, {}, "no_configuration");
+    }
+    if (terms.m_request_id.empty())
+    {
+        return reject({bad_request, {}, {}}, nullptr, {}, "no_request_id");
+    }
+    const auto hostname = find_field(request.m_fields, "host").value_or(std::string_view{});
+    const forwarding::route* const target = table->find_route(hostname, request.m_target);
+    if (target == nullptr)
+    {
+        return reject({not_found, {}, {}}, nullptr, {}, "unknown_route");
+    }
+    std::string account;
+    if (table->needs_key(*target))
+    {
+        if (!m_freshness.holds(now))
+        {
+            return reject(refusal(service_unavailable, not_ready_retry_after), target, {},
+                          "configuration_too_old");
+        }
+        const forwarding::account* const holder = terms.m_key ? table->find_account(*terms.m_key) : nullptr;
+        if (holder == nullptr)
+        {
+            return reject({unauthorised, {}, {}}, target, {}, "unknown_key");
+        }
+        account = holder->m_name;
+        const duration wait = m_quota.admit(account, now);
+        if (wait > duration::zero())
+        {
+            return reject(refusal(too_many_requests, rounded_up(wait)), target, account, "over_limit");
+        }
+    }
+    forwarding::dispatch_request planned = plan(*target, terms, now);
+    return admitted_request{std::move(request), std::move(terms), std::move(account), table, target,
+                            std::move(planned)};
+}
+
+forwarding::dispatch_request request_admission::plan(const forwarding::route& target,
+                                                     const request_terms& terms, time_point now)
+{
+    forwarding::dispatch_request result;
+    result.m_repeatability = target.m_repeatability;
+    result.m_max_attempts = std::max<std::uint32_t>(target.m_max_attempts, 1);
+    result.m_objective = target.m_objective;
+    std::visit(overloaded{[&result](const forwarding::one_service& each)
+                          { result.m_services = {each.m_service}; },
+                          [this, &result, &target](const forwarding::traffic_division& each)
+                          { result.m_services = {m_divider.choose(target.m_name, each)}; },
+                          [&result](const forwarding::scatter& each)
+                          {
+                              result.m_services = each.m_shards;
+                              result.m_scatter = each;
+                          }},
+               target.m_target);
+    const milliseconds limit = std::min(terms.m_time_limit.value_or(target.m_timeout), target.m_timeout);
+    result.m_end = now + std::max(limit - answer_travel_time, milliseconds{1});
+    return result;
+}
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/src/caller_server.cpp
@@ -0,0 +1,106 @@
+#include "teasellead/runtime/caller_server.hpp"
+
+#include <vector>
+
+#include "caller_session.hpp"
+#include "teasellead/kernel/exceptions.hpp"
+
+namespace teasellead::runtime
+{
+
+namespace
+{
+
+constexpr int bind_failed_id = 403;
+constexpr std::chrono::milliseconds accept_retry_delay{50};
+
+} // namespace
+
+caller_server::caller_server(asio::io_context& loop, const endpoint& address, http_handler handler)
+    : m_loop(loop), m_acceptor(loop), m_accept_pause(loop), m_handler(std::move(handler))
+{
+    try
+    {
+        m_acceptor.open(tcp::v4());
+        m_acceptor.set_option(tcp::acceptor::reuse_address{true});
+        m_acceptor.bind(to_tcp(address));
+        m_acceptor.listen();
+    }
+    catch (const boost::system::system_error& error)
+    {
+        throw transport_error(bind_failed_id, "address " + address.to_string() + ": " + error.what());
+    }
+    accept();
+}
+
+caller_server::~caller_server()
+{
+    const std::vector<std::shared_ptr<caller_session>> sessions{m_sessions.begin(), m_sessions.end()};
+    for (const auto& session : sessions)
+    {
+        session->close();
+    }
+}
+
+void caller_server::accept()
+{
+    m_acceptor.async_accept(
+        [this](const boost::system::error_code& error, tcp::socket socket)
+        {
+            if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+            {
+                return;
+            }
+            if (!error)
+            {
+                const auto session = std::make_shared<caller_session>(std::move(socket), *this);
+                m_sessions.insert(session);
+                session->start();
+                accept();
+                return;
+            }
+            // out of descriptors: some are free again soon
+            m_accept_pause.expires_after(accept_retry_delay);
+            m_accept_pause.async_wait(
+                [this](const boost::system::error_code& cancelled)
+                {
+                    if (!cancelled)
+                    {
+                        accept();
+                    }
+                });
+        });
+}
+
+void caller_server::set_limits(const forwarding::caller_limits& limits)
+{
+    m_limits = limits;
+}
+
+void caller_server::announce_close()
+{
+    m_is_closing = true;
+}
+
+void caller_server::close_idle()
+{
+    boost::system::error_code ignored; // it may be closed already
+    m_acceptor.close(ignored);
+    const std::vector<std::shared_ptr<caller_session>> sessions{m_sessions.begin(), m_sessions.end()};
+    for (const auto& session : sessions)
+    {
+        session->close_if_idle();
+    }
+}
+
+std::size_t caller_server::in_flight() const noexcept
+{
+    return m_in_flight;
+}
+
+std::size_t caller_server::connections() const noexcept
+{
+    return m_sessions.size();
+}
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/src/caller_session.cpp
@@ -0,0 +1,374 @@
+#include "caller_session.hpp"
+
+#include <boost/beast/http/error.hpp>
+#include <chrono>
+
+namespace teasellead::runtime
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+constexpr std::size_t read_size = 4096;
+// bytes of further requests that are read while one is worked on
+constexpr std::size_t max_read_ahead = 64 * 1024;
+constexpr milliseconds linger_time{1000};
+constexpr milliseconds write_timeout{10'000};
+// callers must stop using a connection before it is closed
+constexpr milliseconds idle_close_delay{1000};
+
+constexpr unsigned bad_request = 400;
+constexpr unsigned request_timeout = 408;
+constexpr unsigned content_too_large = 413;
+constexpr unsigned fields_too_large = 431;
+
+unsigned status_of(const boost::system::error_code& error)
+{
+    if (error == http::error::header_limit)
+    {
+        return fields_too_large;
+    }
+    return error == http::error::body_limit ? content_too_large : bad_request;
+}
+
+template <class Fields>
+std::vector<header_field> copy_fields(const Fields& fields)
+{
+    std::vector<header_field> result;
+    for (const auto& field : fields)
+    {
+        result.push_back({std::string{field.name_string()}, std::string{field.value()}});
+    }
+    return result;
+}
+
+} // namespace
+
+caller_session::caller_session(tcp::socket socket, caller_server& server)
+    : m_socket(std::move(socket)), m_server(&server), m_timer(server.m_loop)
+{
+}
+
+void caller_session::start()
+{
+    boost::system::error_code ignored; // only a delay of small writes depends on it
+    m_socket.set_option(tcp::no_delay{true}, ignored);
+    begin_request();
+}
+
+void caller_session::begin_request()
+{
+    m_phase = phase::idle;
+    m_keeps_alive = true;
+    m_has_continued = false;
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(m_server->m_limits.m_max_header_bytes);
+    m_parser->body_limit(m_server->m_limits.m_max_body_bytes);
+    arm(m_server->m_limits.m_idle_timeout + idle_close_delay);
+    if (m_buffer.size() > 0)
+    {
+        parse();
+        return;
+    }
+    read();
+}
+
+void caller_session::read()
+{
+    if (m_is_reading || m_phase == phase::closed || m_buffer.size() >= max_read_ahead)
+    {
+        return;
+    }
+    m_is_reading = true;
+    m_socket.async_read_some(m_buffer.prepare(read_size),
+                             [self = shared_from_this()](const boost::system::error_code& error,
+                                                         std::size_t bytes) { self->on_read(error, bytes); });
+}
+
+void caller_session::on_read(const boost::system::error_code& error, std::size_t bytes)
+{
+    m_is_reading = false;
+    if (m_phase == phase::closed)
+    {
+        return;
+    }
+    if (error)
+    {
+        on_end_of_stream();
+        return;
+    }
+    m_buffer.commit(bytes);
+    switch (m_phase)
+    {
+    case phase::idle:
+    case phase::reading:
+        parse();
+        return;
+    case phase::lingering:
+        m_buffer.clear();
+        read();
+        return;
+    default:
+        read();
+        return;
+    }
+}
+
+void caller_session::on_end_of_stream()
+{
+    const gone_function gone = std::move(m_gone);
+    m_gone = nullptr;
+    close();
+    if (gone)
+    {
+        gone();
+    }
+}
+
+void caller_session::parse()
+{
+    if (m_phase == phase::idle)
+    {
+        m_phase = phase::reading;
+        arm(m_server->m_limits.m_header_timeout);
+    }
+    boost::system::error_code error;
+    while (m_buffer.size() > 0 && !m_parser->is_done())
+    {
+        const std::size_t used = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(used);
+        if (error == http::error::need_more)
+        {
+            break;
+        }
+        if (error)
+        {
+            reject(status_of(error));
+            return;
+        }
+        if (used == 0)
+        {
+            break;
+        }
+    }
+    if (m_parser->is_done())
+    {
+        on_request();
+        return;
+    }
+    send_continue_if_expected();
+    read();
+}
+
+void caller_session::send_continue_if_expected()
+{
+    if (m_has_continued || !m_parser->is_header_done())
+    {
+        return;
+    }
+    m_has_continued = true;
+    const auto expectation = m_parser->get()[http::field::expect];
+    if (!same_field_name({expectation.data(), expectation.size()}, "100-continue"))
+    {
+        return;
+    }
+    m_output = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(m_socket, asio::buffer(m_output),
+                      [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
+                      {
+                          if (error)
+                          {
+                              self->on_end_of_stream();
+                          }
+                      });
+}
+
+void caller_session::on_request()
+{
+    auto message = m_parser->release();
+    m_keeps_alive = message.keep_alive();
+    http_request request;
+    request.m_method = std::string{message.method_string()};
+    request.m_target = std::string{message.target()};
+    request.m_fields = copy_fields(message);
+    request.m_has_body = message.chunked() || message.count(http::field::content_length) > 0;
+    request.m_body = std::move(message.body());
+    m_is_head_request = message.method() == http::verb::head;
+    m_phase = phase::handling;
+    m_timer.cancel();
+    ++m_server->m_in_flight;
+    const std::uint64_t number = ++m_request_number;
+    gone_function gone = m_server->m_handler(std::move(request),
+                                             [self = shared_from_this(), number](http_response response)
+                                             {
+                                                 if (self->m_request_number == number)
+                                                 {
+                                                     self->respond(std::move(response));
+                                                 }
+                                             });
+    if (m_phase == phase::handling && m_request_number == number)
+    {
+        m_gone = std::move(gone);
+        // a read that ends tells that the caller has gone
+        read();
+    }
+}
+
+void caller_session::respond(http_response response)
+{
+    if (m_phase != phase::handling)
+    {
+        return;
+    }
+    --m_server->m_in_flight;
+    m_gone = nullptr;
+    const bool is_final = !m_keeps_alive || m_server->m_is_closing;
+    write(std::move(response), is_final);
+}
+
+void caller_session::reject(unsigned status)
+{
+    m_keeps_alive = false;
+    m_is_head_request = false;
+    write(http_response{status, {}, {}}, true);
+}
+
+std::string caller_session::head_of(const http_response& response, bool is_final) const
+{
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    const auto reason = http::obsolete_reason(http::int_to_status(response.m_status));
+    std::string head = "HTTP/1.1 " + std::to_string(response.m_status) + " ";
+    head.append(reason.data(), reason.size());
+    head += "\r\n";
+    for (const header_field& field : response.m_fields)
+    {
+        append_field(head, field.m_name, field.m_value);
+    }
+    const bool has_own_length = find_field(response.m_fields, "content-length").has_value();
+    if (response.m_status != no_content && response.m_status != not_modified && !has_own_length)
+    {
+        append_field(head, "Content-Length", std::to_string(response.m_body.size()));
+    }
+    const auto idle_s = std::chrono::duration_cast<std::chrono::seconds>(m_server->m_limits.m_idle_timeout);
+    if (is_final)
+    {
+        append_field(head, "Connection", "close");
+    }
+    else if (idle_s.count() > 0)
+    {
+        append_field(head, "Keep-Alive", "timeout=" + std::to_string(idle_s.count()));
+    }
+    head += "\r\n";
+    return head;
+}
+
+void caller_session::write(http_response response, bool is_final)
+{
+    m_phase = phase::responding;
+    m_keeps_alive = !is_final;
+    m_output = head_of(response, is_final);
+    if (!m_is_head_request)
+    {
+        m_output += response.m_body;
+    }
+    arm(write_timeout);
+    asio::async_write(m_socket, asio::buffer(m_output),
+                      [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
+                      { self->on_written(error); });
+}
+
+void caller_session::on_written(const boost::system::error_code& error)
+{
+    if (m_phase != phase::responding)
+    {
+        return;
+    }
+    if (error)
+    {
+        close();
+        return;
+    }
+    if (m_keeps_alive)
+    {
+        begin_request();
+        return;
+    }
+    linger();
+}
+
+void caller_session::linger()
+{
+    // closing with unread bytes would reset the connection and destroy the response on its way
+    m_phase = phase::lingering;
+    boost::system::error_code ignored; // the caller may have closed already
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_buffer.clear();
+    arm(linger_time);
+    read();
+}
+
+void caller_session::close_if_idle()
+{
+    if (m_phase == phase::idle)
+    {
+        linger();
+    }
+}
+
+void caller_session::close()
+{
+    if (m_phase == phase::closed)
+    {
+        return;
+    }
+    if (m_phase == phase::handling)
+    {
+        --m_server->m_in_flight;
+    }
+    m_phase = phase::closed;
+    ++m_request_number;
+    m_timer.cancel();
+    boost::system::error_code ignored; // nothing is left to do with the socket
+    m_socket.close(ignored);
+    m_server->m_sessions.erase(shared_from_this());
+}
+
+void caller_session::arm(milliseconds delay)
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                self->on_timer();
+            }
+        });
+}
+
+void caller_session::on_timer()
+{
+    switch (m_phase)
+    {
+    case phase::idle:
+        linger();
+        return;
+    case phase::reading:
+        reject(request_timeout);
+        return;
+    case phase::responding:
+    case phase::lingering:
+        close();
+        return;
+    case phase::handling:
+    case phase::closed:
+        return;
+    }
+}
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/src/client_connection.cpp
@@ -0,0 +1,295 @@
+#include "teasellead/runtime/client_connection.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace teasellead::runtime
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using forwarding::attempt_failure;
+
+constexpr std::size_t read_size = 4096;
+constexpr std::uint64_t max_response_body = 16 * 1024 * 1024;
+constexpr std::uint32_t max_response_header = 32 * 1024;
+// part of the server's idle timeout after which a connection isn't used any more
+constexpr double usable_part = 0.7;
+
+std::optional<std::chrono::milliseconds> idle_timeout_of(std::string_view keep_alive)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto begin = keep_alive.find(parameter);
+    if (begin == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    unsigned seconds = 0;
+    const std::string_view digits = keep_alive.substr(begin + parameter.size());
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc{})
+    {
+        return std::nullopt;
+    }
+    return std::chrono::seconds{seconds};
+}
+
+} // namespace
+
+client_connection::client_connection(asio::io_context& loop, const monotonic_clock& clock,
+                                     const endpoint& address, std::chrono::milliseconds connect_timeout)
+    : m_clock(clock), m_socket(loop), m_address(address), m_connect_timeout(connect_timeout), m_timer(loop)
+{
+}
+
+void client_connection::start(exchange next)
+{
+    m_exchange = std::move(next);
+    m_has_sent = false;
+    if (m_state == state::unconnected)
+    {
+        connect();
+        return;
+    }
+    send();
+}
+
+void client_connection::connect()
+{
+    m_state = state::connecting;
+    m_timer.expires_after(m_connect_timeout);
+    m_timer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error)
+        {
+            if (!error && self->m_state == state::connecting)
+            {
+                self->fail();
+            }
+        });
+    m_socket.async_connect(to_tcp(m_address),
+                           [self = shared_from_this()](const boost::system::error_code& error)
+                           { self->on_connected(error); });
+}
+
+void client_connection::on_connected(const boost::system::error_code& error)
+{
+    if (m_state != state::connecting)
+    {
+        return;
+    }
+    m_timer.cancel();
+    if (error)
+    {
+        fail();
+        return;
+    }
+    boost::system::error_code ignored; // only a delay of small writes depends on it
+    m_socket.set_option(tcp::no_delay{true}, ignored);
+    send();
+}
+
+void client_connection::send()
+{
+    if (m_exchange->m_may_send && !m_exchange->m_may_send())
+    {
+        m_state = state::idle;
+        read();
+        end(attempt_failure::not_sent);
+        return;
+    }
+    m_state = state::busy;
+    m_is_sending = true;
+    m_has_sent = true;
+    begin_response();
+    asio::async_write(m_socket, asio::buffer(m_exchange->m_bytes),
+                      [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
+                      { self->on_sent(error); });
+    read();
+}
+
+void client_connection::on_sent(const boost::system::error_code& error)
+{
+    m_is_sending = false;
+    if (error && m_state == state::busy)
+    {
+        fail();
+    }
+}
+
+void client_connection::read()
+{
+    if (m_is_reading || m_state == state::closed)
+    {
+        return;
+    }
+    m_is_reading = true;
+    m_socket.async_read_some(m_buffer.prepare(read_size),
+                             [self = shared_from_this()](const boost::system::error_code& error,
+                                                         std::size_t bytes) { self->on_read(error, bytes); });
+}
+
+void client_connection::on_read(const boost::system::error_code& error, std::size_t bytes)
+{
+    m_is_reading = false;
+    if (m_state == state::closed)
+    {
+        return;
+    }
+    if (error)
+    {
+        on_end_of_stream(error == asio::error::eof);
+        return;
+    }
+    if (m_state != state::busy)
+    {
+        // nothing was asked for
+        close();
+        return;
+    }
+    m_buffer.commit(bytes);
+    parse();
+}
+
+void client_connection::begin_response()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(max_response_header);
+    m_parser->body_limit(max_response_body);
+    m_parser->skip(m_exchange->m_is_head);
+}
+
+void client_connection::parse()
+{
+    boost::system::error_code error;
+    while (m_buffer.size() > 0 && !m_parser->is_done())
+    {
+        const std::size_t used = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(used);
+        if (error == http::error::need_more)
+        {
+            break;
+        }
+        if (error)
+        {
+            fail();
+            return;
+        }
+        if (used == 0)
+        {
+            break;
+        }
+    }
+    if (m_parser->is_done())
+    {
+        on_response();
+        return;
+    }
+    read();
+}
+
+void client_connection::on_response()
+{
+    constexpr unsigned first_final_status = 200;
+    auto message = m_parser->release();
+    http_response response;
+    response.m_status = message.result_int();
+    for (const auto& field : message)
+    {
+        response.m_fields.push_back({std::string{field.name_string()}, std::string{field.value()}});
+    }
+    response.m_body = std::move(message.body());
+    const bool is_interim = response.m_status < first_final_status;
+    if (is_interim || (m_exchange->m_is_own && !m_exchange->m_is_own(response)))
+    {
+        begin_response();
+        parse();
+        return;
+    }
+    const bool is_kept = message.keep_alive() && !message.need_eof() && !m_is_sending && m_buffer.size() == 0;
+    if (const auto keep_alive = find_field(response.m_fields, "keep-alive"))
+    {
+        if (const auto timeout = idle_timeout_of(*keep_alive))
+        {
+            m_usable_until = m_clock.now() + std::chrono::duration_cast<duration>(*timeout * usable_part);
+        }
+    }
+    std::string connection{find_field(response.m_fields, "connection").value_or("")};
+    received_response received{std::move(response), std::move(connection)};
+    if (is_kept)
+    {
+        m_state = state::idle;
+        read();
+    }
+    end(std::move(received));
+    if (!is_kept)
+    {
+        close();
+    }
+}
+
+void client_connection::on_end_of_stream(bool is_clean)
+{
+    if (m_state != state::busy || !is_clean || !m_parser->is_header_done())
+    {
+        fail();
+        return;
+    }
+    boost::system::error_code error;
+    m_parser->put_eof(error);
+    if (error || !m_parser->is_done())
+    {
+        fail();
+        return;
+    }
+    on_response();
+}
+
+void client_connection::fail()
+{
+    const bool was_connecting = m_state == state::connecting;
+    const attempt_failure failure = was_connecting
+                                        ? attempt_failure::not_connected
+                                        : (m_has_sent ? attempt_failure::broken : attempt_failure::not_sent);
+    std::optional<exchange> ended;
+    std::swap(ended, m_exchange);
+    close();
+    if (ended)
+    {
+        ended->m_on_end(failure);
+    }
+}
+
+void client_connection::end(exchange_result result)
+{
+    std::optional<exchange> ended;
+    std::swap(ended, m_exchange);
+    if (ended)
+    {
+        ended->m_on_end(std::move(result));
+    }
+}
+
+void client_connection::close()
+{
+    if (m_state == state::closed)
+    {
+        return;
+    }
+    m_state = state::closed;
+    m_exchange.reset();
+    m_timer.cancel();
+    boost::system::error_code ignored; // nothing is left to do with the socket
+    m_socket.close(ignored);
+    const std::function<void()> callback = std::move(m_on_closed);
+    if (callback)
+    {
+        callback();
+    }
+}
+
+} // namespace teasellead::runtime
--- a/packages/entry/src/decision_log.cpp
+++ b/packages/runtime/src/decision_log.cpp
@@ -1,8 +1,13 @@
-#include "teasellead/entry/decision_log.hpp"
+#include "teasellead/runtime/decision_log.hpp"
 
+#include <atomic>
+#include <fcntl.h>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace teasellead
 {
@@ -61,13 +66,68 @@
     return line;
 }
 
+/// writes to standard output as long as its reader keeps up
+class output_sink final : public spdlog::sinks::base_sink<std::mutex>
+{
+  public:
+    output_sink()
+    {
+        const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        if (flags >= 0)
+        {
+            ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        }
+    }
+
+    [[nodiscard]] std::uint64_t dropped() const noexcept
+    {
+        return m_dropped.load();
+    }
+
+  protected:
+    void sink_it_(const spdlog::details::log_msg& message) override
+    {
+        spdlog::memory_buf_t formatted;
+        formatter_->format(message, formatted);
+        flush_();
+        if (m_pending.size() + formatted.size() > max_pending_bytes)
+        {
+            ++m_dropped;
+            return;
+        }
+        m_pending.append(formatted.data(), formatted.size());
+        flush_();
+    }
+
+    void flush_() override
+    {
+        while (!m_pending.empty())
+        {
+            const ssize_t written = ::write(STDOUT_FILENO, m_pending.data(), m_pending.size());
+            if (written <= 0)
+            {
+                return;
+            }
+            m_pending.erase(0, static_cast<std::size_t>(written));
+        }
+    }
+
+  private:
+    static constexpr std::size_t max_pending_bytes = 64 * 1024;
+
+    std::string m_pending;
+    std::atomic<std::uint64_t> m_dropped{0};
+};
+
 } // namespace
 
 class decision_log::implementation
 {
   public:
-    implementation(log_format format, log_level level)
-        : m_format(format), m_logger("teasellead", std::make_shared<spdlog::sinks::stderr_sink_mt>())
+    implementation(log_format format, log_level level, log_target target)
+        : m_format(format),
+          m_output(target == log_target::standard_output ? std::make_shared<output_sink>() : nullptr),
+          m_logger("teasellead", sink_for(m_output))
     {
         m_logger.set_level(to_spdlog(level));
         m_logger.set_pattern(format == log_format::json
@@ -93,14 +153,34 @@
         m_logger.log(to_spdlog(level), spdlog::string_view_t{line.data(), line.size()});
     }
 
+    [[nodiscard]] std::uint64_t dropped() const noexcept
+    {
+        return m_output ? m_output->dropped() : 0;
+    }
+
   private:
+    static spdlog::sink_ptr sink_for(const std::shared_ptr<output_sink>& output)
+    {
+        if (output)
+        {
+            return output;
+        }
+        return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    }
+
     log_format m_format;
+    std::shared_ptr<output_sink> m_output;
     spdlog::logger m_logger;
 };
 
-decision_log::decision_log(log_format format, log_level level)
-    : m_implementation(std::make_unique<implementation>(format, level))
+decision_log::decision_log(log_format format, log_level level, log_target target)
+    : m_implementation(std::make_unique<implementation>(format, level, target))
+{
+}
+
+std::uint64_t decision_log::dropped() const noexcept
 {
+    return m_implementation->dropped();
 }
 
 decision_log::~decision_log() = default;
--- /dev/null
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -0,0 +1,404 @@
+#include "teasellead/runtime/forwarding_node.hpp"
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <optional>
+
+#include "admission.hpp"
+#include "teasellead/fleet/account_quota.hpp"
+#include "teasellead/forwarding/freshness.hpp"
+#include "teasellead/kernel/overloaded.hpp"
+#include "teasellead/runtime/caller_server.hpp"
+#include "teasellead/runtime/peer_gossip.hpp"
+#include "teasellead/runtime/refusals.hpp"
+#include "teasellead/runtime/request_driver.hpp"
+#include "teasellead/runtime/suspend_aware_clock.hpp"
+#include "teasellead/runtime/upstream_pool.hpp"
+
+namespace teasellead::runtime
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds tick_period{200};
+constexpr milliseconds connect_timeout{400};
+constexpr unsigned ok = 200;
+// a balancer needs this long after the first miss until it sends nothing more
+constexpr milliseconds balancer_lag{3500};
+// kept free at the end of the grace time
+constexpr milliseconds stop_reserve{700};
+constexpr std::size_t default_connections = 64;
+
+node_incarnation new_incarnation()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<node_incarnation>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
+}
+
+std::uint64_t milliseconds_of(duration length)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(length).count());
+}
+
+} // namespace
+
+class forwarding_node::implementation final : public deployment_observer
+{
+  public:
+    implementation(const deployment& platform, decision_log& log)
+        : m_settings(platform.settings()), m_protocol(platform.protocol()), m_decisions(log),
+          m_log(log, m_clock), m_random(new_incarnation()), m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
+          m_ticker(m_loop), m_stop_timer(m_loop), m_budget(m_settings.m_attempt_budget),
+          m_freshness(m_settings.m_key_freshness), m_directory(m_settings.m_data_centre),
+          m_members(m_settings.m_peers, new_incarnation(), m_settings.m_seeds, roster_settings{},
+                    m_clock.now()),
+          m_gossip(m_loop, m_clock, make_zmq_peer_link(m_settings.m_peers, new_incarnation(), fleet_key{}),
+                   m_members),
+          m_pool(m_loop, m_clock, connect_timeout), m_admission(m_protocol, m_freshness, m_quota),
+          m_dispatching{m_directory, m_budget, m_random,
+                        [this](const forwarding::upstream& target)
+                        {
+                            return m_pool.has_room(target, connection_limit(target));
+                        }},
+          m_environment{m_loop, m_clock, m_protocol, m_dispatching, m_freshness, m_pool, m_log},
+          m_callers(m_loop, m_settings.m_callers,
+                    [this](http_request request, respond_function respond)
+                    { return handle(std::move(request), std::move(respond)); }),
+          m_readiness(m_loop, m_settings.m_readiness,
+                      [this](const http_request&, const respond_function& respond)
+                      {
+                          respond({is_ready() ? ok : service_unavailable, {}, {}});
+                          return gone_function{};
+                      }),
+          m_source(platform.make_source(m_loop, m_clock))
+    {
+        if (m_settings.m_metrics.port() != 0)
+        {
+            m_metrics.emplace(
+                m_loop, m_settings.m_metrics,
+                [this](const http_request&, const respond_function& respond)
+                {
+                    respond({ok, {{"Content-Type", "text/plain; version=0.0.4"}}, exposition()});
+                    return gone_function{};
+                });
+        }
+        m_decisions.write(log_level::info, "started",
+                          {{"node", m_settings.m_name},
+                           {"data_centre", m_settings.m_data_centre},
+                           {"callers", m_settings.m_callers.to_string()},
+                           {"peers", m_settings.m_peers.to_string()}});
+        wait_for_signal();
+        m_source->start(*this);
+        tick();
+    }
+
+    bool run()
+    {
+        m_loop.run();
+        return m_unfinished == 0;
+    }
+
+    void on_declarations(forwarding::declarations next) override
+    {
+        if (m_table && next.m_version <= m_table->version())
+        {
+            return;
+        }
+        const time_point now = m_clock.now();
+        m_decisions.write(log_level::info, "configuration",
+                          {{"version", next.m_version},
+                           {"previous", m_table ? m_table->version() : std::uint64_t{0}},
+                           {"routes", std::uint64_t{next.m_routes.size()}},
+                           {"accounts", std::uint64_t{next.m_accounts.size()}}});
+        m_table = std::make_shared<const forwarding::route_table>(std::move(next));
+        m_callers.set_limits(m_table->content().m_limits);
+        m_quota.on_declarations(m_table->content().m_accounts, now);
+        update_shares();
+    }
+
+    void on_directory(std::vector<forwarding::directory_item> items, bool keep_lapsed) override
+    {
+        m_directory.on_listing(items, keep_lapsed, m_clock.now());
+        m_has_directory = true;
+        m_decisions.write(
+            log_level::info, "directory",
+            {{"entries", std::uint64_t{items.size()}}, {"keeps_lapsed", keep_lapsed ? "yes" : "no"}});
+        m_pool.close_unused();
+    }
+
+    void on_upstream(const forwarding::directory_item& item) override
+    {
+        m_directory.on_change(item, m_clock.now());
+        const std::string state =
+            !item.m_entry ? "unusable" : (item.m_entry->m_is_draining ? "draining" : "ready");
+        m_log.write(log_level::info, "upstream",
+                    {{"instance", item.m_instance},
+                     {"service", item.m_entry ? item.m_entry->m_service : std::string{}},
+                     {"state", state}});
+        m_pool.close_unused();
+    }
+
+    void on_upstream_removed(const std::string& instance, bool keep_lapsed) override
+    {
+        m_directory.on_removed(instance, keep_lapsed);
+        m_log.write(log_level::info, "upstream",
+                    {{"instance", instance}, {"state", keep_lapsed ? "lapsed" : "removed"}});
+        m_pool.close_unused();
+    }
+
+    void on_lapsed_gone() override
+    {
+        m_directory.drop_lapsed();
+        m_pool.close_unused();
+    }
+
+    void on_evacuated(std::set<std::string> data_centres) override
+    {
+        if (data_centres == m_directory.evacuated())
+        {
+            return;
+        }
+        std::string names;
+        for (const std::string& name : data_centres)
+        {
+            names += (names.empty() ? "" : ",") + name;
+        }
+        m_decisions.write(log_level::info, "evacuated", {{"data_centres", names}});
+        m_directory.set_evacuated(std::move(data_centres));
+    }
+
+    void on_proof(time_point asked_at) override
+    {
+        const time_point now = m_clock.now();
+        const bool held = m_freshness.holds(now);
+        m_freshness.on_proof(asked_at);
+        if (!held && m_freshness.holds(now))
+        {
+            m_decisions.write(log_level::info, "configuration_fresh",
+                              {{"age_ms", milliseconds_of(m_freshness.age(now))}});
+        }
+        m_was_fresh = m_freshness.holds(now);
+    }
+
+    void on_source(bool is_reachable, const std::string& reason) override
+    {
+        m_decisions.write(is_reachable ? log_level::info : log_level::warning,
+                          is_reachable ? "source_regained" : "source_lost", {{"reason", reason}});
+    }
+
+  private:
+    gone_function handle(http_request request, respond_function respond)
+    {
+        const time_point now = m_clock.now();
+        request_terms terms = m_protocol.read_terms(request);
+        const std::string request_id = terms.m_request_id;
+        admission_result decided = m_admission.decide(std::move(request), std::move(terms), m_table, now);
+        if (const auto* rejected = std::get_if<rejection>(&decided))
+        {
+            m_log.add({request_id, rejected->m_route, rejected->m_account, "refused", rejected->m_reason,
+                       rejected->m_response.m_status, duration::zero(), 0, 0,
+                       m_table ? m_table->version() : 0, m_freshness.age(now)});
+            respond(rejected->m_response);
+            return {};
+        }
+        const auto driver = std::make_shared<request_driver>(
+            m_environment, std::move(std::get<admitted_request>(decided)), std::move(respond));
+        driver->start();
+        return [driver]
+        {
+            driver->cancel();
+        };
+    }
+
+    [[nodiscard]] bool is_ready() const
+    {
+        return !m_is_stopping && m_table && m_has_directory && m_members.has_joined(m_clock.now());
+    }
+
+    [[nodiscard]] std::size_t connection_limit(const forwarding::upstream& target)
+    {
+        const forwarding::service* const declared =
+            m_table ? m_table->find_service(target.entry().m_service) : nullptr;
+        if (declared == nullptr || declared->m_max_connections == 0)
+        {
+            return default_connections;
+        }
+        return std::max<std::size_t>(1, declared->m_max_connections / m_nodes);
+    }
+
+    void update_shares()
+    {
+        const time_point now = m_clock.now();
+        const std::size_t counted = m_members.counted_nodes(now);
+        m_nodes = std::max<std::size_t>(m_members.recent_nodes(now), 1);
+        m_budget.set_part(1.0 / static_cast<double>(m_nodes));
+        if (m_members.has_joined(now))
+        {
+            m_quota.on_view(m_members.demand_elsewhere(now), counted, now);
+        }
+        if (counted != m_logged_nodes)
+        {
+            m_logged_nodes = counted;
+            m_decisions.write(log_level::info, "nodes", {{"counted", std::uint64_t{counted}}});
+        }
+    }
+
+    void tick()
+    {
+        const time_point now = m_clock.now();
+        m_gossip.receive();
+        m_gossip.send(m_members.on_tick(m_quota.demand(now), m_is_stopping, m_random, now));
+        m_gossip.retain();
+        update_shares();
+        if (m_was_fresh && !m_freshness.holds(now))
+        {
+            m_was_fresh = false;
+            m_decisions.write(log_level::warning, "configuration_too_old",
+                              {{"age_ms", milliseconds_of(m_freshness.age(now))}});
+        }
+        m_ticker.expires_after(tick_period);
+        m_ticker.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                {
+                    tick();
+                }
+            });
+    }
+
+    void wait_for_signal()
+    {
+        m_signals.async_wait(
+            [this](const boost::system::error_code& error, int signal)
+            {
+                if (error)
+                {
+                    return;
+                }
+                if (signal == SIGHUP)
+                {
+                    m_decisions.write(log_level::info, "reload", {{"changed", "nothing"}});
+                }
+                else
+                {
+                    begin_stop();
+                }
+                wait_for_signal();
+            });
+    }
+
+    void begin_stop()
+    {
+        if (m_is_stopping)
+        {
+            return;
+        }
+        m_is_stopping = true;
+        m_stop_began = m_clock.now();
+        m_decisions.write(log_level::info, "stopping", {{"in_flight", std::uint64_t{m_callers.in_flight()}}});
+        m_callers.announce_close();
+        m_gossip.send(m_members.on_tick(m_quota.demand(m_stop_began), true, m_random, m_stop_began));
+        continue_stop();
+    }
+
+    void continue_stop()
+    {
+        const duration passed = m_clock.now() - m_stop_began;
+        const bool may_close = passed >= balancer_lag;
+        if (may_close)
+        {
+            m_callers.close_idle();
+        }
+        const bool is_done = may_close && m_callers.connections() == 0;
+        if (is_done || passed >= m_settings.m_grace - stop_reserve)
+        {
+            m_unfinished = m_callers.in_flight();
+            m_decisions.write(log_level::info, "stopped", {{"unfinished", std::uint64_t{m_unfinished}}});
+            m_loop.stop();
+            return;
+        }
+        constexpr milliseconds check_interval{50};
+        m_stop_timer.expires_after(check_interval);
+        m_stop_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                {
+                    continue_stop();
+                }
+            });
+    }
+
+    [[nodiscard]] std::string exposition() const
+    {
+        std::string text = m_log.exposition();
+        const auto add = [&text](std::string_view name, std::string_view kind, std::uint64_t value)
+        {
+            text += "# TYPE " + std::string{name} + " " + std::string{kind} + "\n" + std::string{name} + " " +
+                    std::to_string(value) + "\n";
+        };
+        const time_point now = m_clock.now();
+        add("teasellead_configuration_version", "gauge", m_table ? m_table->version() : 0);
+        add("teasellead_configuration_age_milliseconds", "gauge", milliseconds_of(m_freshness.age(now)));
+        add("teasellead_counted_nodes", "gauge", m_members.counted_nodes(now));
+        add("teasellead_upstreams", "gauge", m_directory.size());
+        add("teasellead_upstream_connections_opened_total", "counter", m_pool.opened());
+        add("teasellead_source_calls_total", "counter", m_source->calls());
+        add("teasellead_requests_in_flight", "gauge", m_callers.in_flight());
+        return text;
+    }
+
+    // destroyed in reverse order: no request is accepted while what it needs goes away
+    const forwarding_settings m_settings;
+    const wire_protocol& m_protocol;
+    decision_log& m_decisions;
+    suspend_aware_clock m_clock;
+    request_log m_log;
+    random_source m_random;
+    asio::io_context m_loop{1};
+    asio::signal_set m_signals;
+    asio::steady_timer m_ticker;
+    asio::steady_timer m_stop_timer;
+    forwarding::shared_route_table m_table;
+    forwarding::attempt_budget m_budget;
+    forwarding::freshness m_freshness;
+    forwarding::upstream_directory m_directory;
+    account_quota m_quota;
+    roster m_members;
+    peer_gossip m_gossip;
+    upstream_pool m_pool;
+    request_admission m_admission;
+    forwarding::dispatch_context m_dispatching;
+    request_environment m_environment;
+    caller_server m_callers;
+    caller_server m_readiness;
+    std::optional<caller_server> m_metrics;
+    std::unique_ptr<deployment_source> m_source;
+    bool m_has_directory{false};
+    bool m_was_fresh{false};
+    bool m_is_stopping{false};
+    time_point m_stop_began{};
+    std::size_t m_nodes{1};
+    std::size_t m_logged_nodes{0};
+    std::size_t m_unfinished{0};
+};
+
+forwarding_node::forwarding_node(const deployment& platform, decision_log& log)
+    : m_implementation(std::make_unique<implementation>(platform, log))
+{
+}
+
+forwarding_node::~forwarding_node() = default;
+
+bool forwarding_node::run()
+{
+    return m_implementation->run();
+}
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/src/peer_gossip.cpp
@@ -0,0 +1,59 @@
+#include "teasellead/runtime/peer_gossip.hpp"
+
+#include <chrono>
+
+namespace teasellead::runtime
+{
+
+peer_gossip::peer_gossip(asio::io_context& loop, const monotonic_clock& clock,
+                         std::unique_ptr<peer_link> link, roster& members)
+    : m_clock(clock), m_link(std::move(link)), m_members(members), m_readable(loop, m_link->descriptor())
+{
+    wait();
+}
+
+peer_gossip::~peer_gossip()
+{
+    // the descriptor belongs to the link
+    m_readable.release();
+}
+
+void peer_gossip::wait()
+{
+    m_readable.async_wait(asio::posix::stream_descriptor::wait_read,
+                          [this](const boost::system::error_code& error)
+                          {
+                              if (!error)
+                              {
+                                  receive();
+                                  wait();
+                              }
+                          });
+}
+
+void peer_gossip::receive()
+{
+    const auto messages = m_link->receive(std::chrono::milliseconds{0});
+    for (const peer_message& message : messages)
+    {
+        if (const auto* notice = std::get_if<roster_notice>(&message.m_content))
+        {
+            send(m_members.on_notice(message.m_sender, *notice, m_clock.now()));
+        }
+    }
+}
+
+void peer_gossip::send(const std::vector<outgoing_message>& messages)
+{
+    for (const outgoing_message& message : messages)
+    {
+        m_link->send(message);
+    }
+}
+
+void peer_gossip::retain()
+{
+    m_link->retain(m_members.peers(m_clock.now()));
+}
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/src/refusals.cpp
@@ -0,0 +1,17 @@
+#include "teasellead/runtime/refusals.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace teasellead::runtime
+{
+
+http_response refusal(unsigned status, std::chrono::milliseconds retry_after)
+{
+    constexpr double ms_per_s = 1000.0;
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(retry_after.count()) / ms_per_s);
+    return {status, {{"Retry-After", text.data()}}, {}};
+}
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/src/request_driver.cpp
@@ -0,0 +1,245 @@
+#include "teasellead/runtime/request_driver.hpp"
+
+#include <algorithm>
+
+#include "teasellead/forwarding/record_merge.hpp"
+#include "teasellead/kernel/overloaded.hpp"
+#include "teasellead/runtime/refusals.hpp"
+
+namespace teasellead::runtime
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// released attempts may end by themselves within this time, so that their connections can be kept
+constexpr milliseconds linger_time{300};
+constexpr unsigned ok = 200;
+constexpr unsigned bad_gateway = 502;
+constexpr unsigned gateway_timeout = 504;
+
+} // namespace
+
+request_driver::request_driver(request_environment& environment, admitted_request request,
+                               respond_function respond)
+    : m_environment(environment), m_request(std::move(request)), m_respond(std::move(respond)),
+      m_dispatch(m_request.m_dispatch, environment.m_dispatching, environment.m_clock.now()),
+      m_began(environment.m_clock.now()), m_timer(environment.m_loop),
+      m_common_head(environment.m_protocol.common_head(m_request.m_request, m_request.m_account))
+{
+}
+
+void request_driver::start()
+{
+    execute(m_dispatch.start(m_environment.m_clock.now()));
+}
+
+void request_driver::cancel()
+{
+    if (m_is_answered)
+    {
+        return;
+    }
+    m_is_answered = true;
+    const time_point now = m_environment.m_clock.now();
+    m_environment.m_log.add({m_request.m_terms.m_request_id, m_request.m_route->m_name, m_request.m_account,
+                             "caller_gone", "caller_gone", 0, now - m_began, m_dispatch.attempts(), 0,
+                             m_request.m_table->version(), m_environment.m_freshness.age(now)});
+    execute(m_dispatch.cancel());
+}
+
+bool request_driver::may_send() const
+{
+    return m_request.m_account.empty() || m_environment.m_freshness.holds(m_environment.m_clock.now());
+}
+
+milliseconds request_driver::time_left(time_point now) const
+{
+    return std::chrono::duration_cast<milliseconds>(m_request.m_dispatch.m_end - now);
+}
+
+void request_driver::execute(const std::vector<forwarding::dispatch_action>& actions)
+{
+    // the object lives on until all its attempts have ended
+    const auto self = shared_from_this();
+    for (const forwarding::dispatch_action& action : actions)
+    {
+        std::visit(overloaded{[this](const forwarding::send_attempt& each) { send(each); },
+                              [this](const forwarding::release_attempt& each)
+                              {
+                                  release(each.m_attempt);
+                              }},
+                   action);
+    }
+    answer_if_finished();
+    arm();
+}
+
+void request_driver::send(const forwarding::send_attempt& action)
+{
+    const time_point now = m_environment.m_clock.now();
+    const milliseconds left = time_left(now);
+    if (!may_send() || left <= milliseconds::zero())
+    {
+        asio::post(m_environment.m_loop, [self = shared_from_this(), attempt = action.m_attempt]
+                   { self->on_end(attempt, forwarding::attempt_failure::not_sent); });
+        return;
+    }
+    exchange next;
+    next.m_bytes = m_common_head +
+                   m_environment.m_protocol.attempt_fields(action.m_upstream->entry().m_instance, left) +
+                   "\r\n" + m_request.m_request.m_body;
+    next.m_is_head = m_request.m_request.m_method == "HEAD";
+    next.m_may_send = [self = shared_from_this()]
+    {
+        return self->may_send();
+    };
+    next.m_is_own = [self = shared_from_this()](const http_response& response)
+    {
+        return self->m_environment.m_protocol.is_own(response, self->m_request.m_terms.m_request_id);
+    };
+    next.m_on_end = [self = shared_from_this(), attempt = action.m_attempt](exchange_result result)
+    {
+        self->on_end(attempt, std::move(result));
+    };
+    const auto connection = m_environment.m_pool.acquire(action.m_upstream);
+    m_running.emplace(action.m_attempt, running_attempt{connection});
+    connection->start(std::move(next));
+}
+
+void request_driver::release(forwarding::attempt_number attempt)
+{
+    if (m_running.count(attempt) > 0)
+    {
+        m_linger_until = std::min(m_linger_until, m_environment.m_clock.now() + linger_time);
+    }
+}
+
+void request_driver::on_end(forwarding::attempt_number attempt, exchange_result result)
+{
+    m_running.erase(attempt);
+    const time_point now = m_environment.m_clock.now();
+    if (auto* response = std::get_if<received_response>(&result))
+    {
+        attempt_outcome outcome = m_environment.m_protocol.read_response(std::move(*response));
+        if (auto* reply = std::get_if<forwarding::upstream_reply>(&outcome))
+        {
+            execute(m_dispatch.on_reply(attempt, std::move(*reply), now));
+            return;
+        }
+        execute(m_dispatch.on_failure(attempt, std::get<forwarding::attempt_failure>(outcome), now));
+        return;
+    }
+    execute(m_dispatch.on_failure(attempt, std::get<forwarding::attempt_failure>(result), now));
+}
+
+void request_driver::arm()
+{
+    if (m_is_answered && m_running.empty())
+    {
+        m_timer.cancel();
+        return;
+    }
+    const time_point now = m_environment.m_clock.now();
+    const time_point wakeup =
+        m_is_answered ? m_linger_until : std::min(m_dispatch.next_wakeup(), m_linger_until);
+    if (wakeup == time_point::max())
+    {
+        return;
+    }
+    m_timer.expires_after(std::max(duration::zero(), wakeup - now));
+    m_timer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                self->on_timer();
+            }
+        });
+}
+
+void request_driver::on_timer()
+{
+    const time_point now = m_environment.m_clock.now();
+    if (now >= m_linger_until)
+    {
+        m_linger_until = time_point::max();
+        // attempts of a finished request, and those that lost against another one
+        std::vector<forwarding::attempt_number> ended;
+        for (const auto& [attempt, running] : m_running)
+        {
+            if (m_is_answered || m_dispatch.is_released(attempt))
+            {
+                ended.push_back(attempt);
+            }
+        }
+        for (const forwarding::attempt_number attempt : ended)
+        {
+            const auto connection = m_running.at(attempt).m_connection;
+            m_running.erase(attempt);
+            connection->close();
+            m_dispatch.on_abandoned(attempt, now);
+        }
+    }
+    if (m_is_answered)
+    {
+        arm();
+        return;
+    }
+    execute(m_dispatch.on_time(now));
+}
+
+void request_driver::answer_if_finished()
+{
+    if (m_is_answered || !m_dispatch.is_finished())
+    {
+        return;
+    }
+    std::visit(overloaded{[this](const forwarding::forwarded& result)
+                          {
+                              const forwarding::upstream_reply& reply = result.m_reply;
+                              answer({reply.m_status, reply.m_fields, reply.m_body}, "forwarded",
+                                     reply.is_success() ? "" : "upstream_status");
+                          },
+                          [this](const forwarding::gathered& result)
+                          {
+                              std::vector<std::string_view> bodies;
+                              for (const forwarding::upstream_reply& part : result.m_parts)
+                              {
+                                  bodies.emplace_back(part.m_body);
+                              }
+                              answer({ok, m_environment.m_protocol.gathered_fields(result),
+                                      forwarding::greatest_records(bodies, result.m_top)},
+                                     "gathered", "");
+                          },
+                          [this](const forwarding::unanswered& result)
+                          {
+                              const std::string_view reason = forwarding::to_string(result.m_reason);
+                              if (result.m_verdict == verdict::not_run)
+                              {
+                                  answer(refusal(service_unavailable, result.m_retry_after), "refused",
+                                         reason);
+                                  return;
+                              }
+                              const bool is_late = result.m_reason == forwarding::failure_reason::timed_out;
+                              answer({is_late ? gateway_timeout : bad_gateway, {}, {}}, "failed", reason);
+                          }},
+               m_dispatch.result());
+}
+
+void request_driver::answer(http_response response, std::string_view outcome, std::string_view reason)
+{
+    m_is_answered = true;
+    const time_point now = m_environment.m_clock.now();
+    const auto* const parts = std::get_if<forwarding::gathered>(&m_dispatch.result());
+    m_environment.m_log.add({m_request.m_terms.m_request_id, m_request.m_route->m_name, m_request.m_account,
+                             outcome, reason, response.m_status, now - m_began, m_dispatch.attempts(),
+                             parts == nullptr ? 0 : parts->m_missing, m_request.m_table->version(),
+                             m_environment.m_freshness.age(now)});
+    m_linger_until = std::min(m_linger_until, now + linger_time);
+    m_respond(std::move(response));
+}
+
+} // namespace teasellead::runtime
--- /dev/null
+++ b/packages/runtime/src/request_log.cpp
@@ -0,0 +1,130 @@
+#include "teasellead/runtime/request_log.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace teasellead::runtime
+{
+
+namespace
+{
+
+constexpr double served_lines_per_s = 2.0;
+constexpr double unserved_lines_per_s = 20.0;
+constexpr double event_lines_per_s = 20.0;
+constexpr double burst_s = 2.0;
+constexpr std::size_t max_routes = 200;
+constexpr std::string_view other_routes = "other";
+
+double milliseconds_of(duration length)
+{
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+} // namespace
+
+bool request_log::may_write(std::string_view kind, double lines_per_s)
+{
+    auto known = m_rates.find(kind);
+    if (known == m_rates.end())
+    {
+        known = m_rates.emplace(std::string{kind}, line_rate{}).first;
+    }
+    line_rate& rate = known->second;
+    const time_point now = m_clock.now();
+    const double capacity = lines_per_s * burst_s;
+    const double passed_s = std::chrono::duration<double>(now - rate.m_refilled_at).count();
+    rate.m_tokens = rate.m_is_new ? capacity : std::min(capacity, rate.m_tokens + passed_s * lines_per_s);
+    rate.m_is_new = false;
+    rate.m_refilled_at = now;
+    if (rate.m_tokens < 1.0)
+    {
+        ++rate.m_left_out;
+        return false;
+    }
+    rate.m_tokens -= 1.0;
+    if (rate.m_left_out > 0)
+    {
+        m_log.write(log_level::warning, "lines_left_out", {{"kind", kind}, {"count", rate.m_left_out}});
+        rate.m_left_out = 0;
+    }
+    return true;
+}
+
+void request_log::add(const request_entry& entry)
+{
+    const bool is_known = m_routes.find(entry.m_route) != m_routes.end();
+    const std::string_view label = is_known || m_routes.size() < max_routes ? entry.m_route : other_routes;
+    route_counts& counts = m_routes[std::string{label}];
+    ++counts.m_outcomes["outcome=\"" + std::string{entry.m_outcome} + "\",reason=\"" +
+                        std::string{entry.m_reason} + "\""];
+    const double latency_ms = milliseconds_of(entry.m_latency);
+    const auto bucket = std::lower_bound(bucket_bounds_ms.begin(), bucket_bounds_ms.end(), latency_ms);
+    ++counts.m_buckets.at(static_cast<std::size_t>(bucket - bucket_bounds_ms.begin()));
+    counts.m_sum_ms += latency_ms;
+    ++counts.m_count;
+
+    const bool is_served = entry.m_reason.empty();
+    const std::string_view kind = is_served ? "request_served" : "request_unserved";
+    if (!may_write(kind, is_served ? served_lines_per_s : unserved_lines_per_s))
+    {
+        return;
+    }
+    m_log.write(is_served ? log_level::info : log_level::warning, "request",
+                {{"request_id", entry.m_request_id},
+                 {"route", entry.m_route},
+                 {"account", entry.m_account},
+                 {"outcome", entry.m_outcome},
+                 {"reason", entry.m_reason},
+                 {"status", std::uint64_t{entry.m_status}},
+                 {"latency_ms", latency_ms},
+                 {"attempts", std::uint64_t{entry.m_attempts}},
+                 {"missing", std::uint64_t{entry.m_missing}},
+                 {"version", entry.m_version},
+                 {"version_age_ms", milliseconds_of(entry.m_version_age)}});
+}
+
+void request_log::write(log_level level, std::string_view event, const std::vector<log_field>& fields)
+{
+    if (may_write(event, event_lines_per_s))
+    {
+        m_log.write(level, event, fields);
+    }
+}
+
+std::string request_log::exposition() const
+{
+    std::ostringstream text;
+    text << "# HELP teasellead_requests_total Requests that ended, by route, outcome and reason.\n"
+            "# TYPE teasellead_requests_total counter\n";
+    for (const auto& [route, counts] : m_routes)
+    {
+        for (const auto& [labels, count] : counts.m_outcomes)
+        {
+            text << "teasellead_requests_total{route=\"" << route << "\"," << labels << "} " << count << '\n';
+        }
+    }
+    text << "# HELP teasellead_request_milliseconds Time from the whole request to its answer.\n"
+            "# TYPE teasellead_request_milliseconds histogram\n";
+    for (const auto& [route, counts] : m_routes)
+    {
+        std::uint64_t below = 0;
+        for (std::size_t i = 0; i < bucket_bounds_ms.size(); ++i)
+        {
+            below += counts.m_buckets.at(i);
+            text << "teasellead_request_milliseconds_bucket{route=\"" << route << "\",le=\""
+                 << bucket_bounds_ms.at(i) << "\"} " << below << '\n';
+        }
+        text << "teasellead_request_milliseconds_bucket{route=\"" << route << "\",le=\"+Inf\"} "
+             << counts.m_count << "\nteasellead_request_milliseconds_sum{route=\"" << route << "\"} "
+             << counts.m_sum_ms << "\nteasellead_request_milliseconds_count{route=\"" << route << "\"} "
+             << counts.m_count << '\n';
+    }
+    text << "# HELP teasellead_log_lines_dropped_total Log lines dropped because the reader was too slow.\n"
+            "# TYPE teasellead_log_lines_dropped_total counter\n"
+            "teasellead_log_lines_dropped_total "
+         << m_log.dropped() << '\n';
+    return text.str();
+}
+
+} // namespace teasellead::runtime
