--- a/packages/fleet/src/account_quota.cpp
+++ b/packages/fleet/src/account_quota.cpp
@@ -15,10 +15,12 @@
 constexpr duration min_estimate_interval = std::chrono::milliseconds{200};
 // part of a limit that is divided equally, for callers who come to a node for the first time
 constexpr double equal_part = 0.15;
-// tokens that a bucket holds at least, so that a small account may use its rate in one go
-constexpr double min_bucket = 2.0;
+// tokens that a bucket holds at least, so that a small account is served at every node
+constexpr double min_bucket = 1.5;
 // time of this node's rate that its bucket may hold on top of its part of the burst
-constexpr double bucket_s = 1.0;
+constexpr double bucket_s = 0.2;
+// the bound leaves room for parts that don't agree yet; a part of it serves callers near their limit
+constexpr double rate_headroom = 1.08;
 
 double seconds_of(duration length)
 {
@@ -123,7 +125,7 @@
 {
     const double passed_s = seconds_of(now - state.m_refilled_at);
     state.m_refilled_at = now;
-    const double rate = state.m_rate * state.m_part;
+    const double rate = rate_headroom * state.m_rate * state.m_part;
     const double capacity = std::max(min_bucket, rate * bucket_s + state.m_burst * state.m_part);
     state.m_tokens = std::min(capacity, state.m_tokens + rate * passed_s);
 }
