Let gossip begin: keep sockets to seeds, join fast; divide limits by their bound

Ruled out: disagreement of the shares (all nodes logged part 1.0 and 1 node).

Change: sockets to seeds are kept; 100 ms between notices in the first 2 s; what all buckets hold together follows from the bound of the platform less a reserve.

--- a/packages/fleet/include/teasellead/fleet/account_quota.hpp
+++ b/packages/fleet/include/teasellead/fleet/account_quota.hpp
@@ -11,6 +11,20 @@
 namespace teasellead
 {
 
+/*!
+@brief what all nodes together may admit of an account
+
+In any window, (rate x window + burst) x (1 + overage) + slack.
+*/
+struct account_bound
+{
+    duration m_window{std::chrono::seconds{5}};
+    double m_overage{0.0};
+    double m_slack{0.0};
+
+    friend bool operator==(const account_bound&, const account_bound&) = default;
+};
+
 /*!
 @brief this node's part of the limits of all accounts
 
@@ -20,6 +34,10 @@
 class account_quota
 {
   public:
+    explicit account_quota(account_bound bound) noexcept : m_bound(bound)
+    {
+    }
+
     /// takes the limits of a new revision
     void on_declarations(const std::vector<forwarding::account>& accounts, time_point now);
 
@@ -56,18 +74,20 @@
         double m_rate{0.0};  ///< declared limit
         double m_burst{0.0}; ///< declared burst
         double m_tokens{0.0};
-        double m_part{0.0};      ///< this node's part of the limit
-        double m_demand{0.0};    ///< arrivals a second, averaged
-        double m_elsewhere{0.0}; ///< arrivals a second at all other nodes
+        double m_part{0.0};          ///< this node's part of the rate
+        double m_capacity_part{0.0}; ///< this node's part of what may be saved up
+        double m_demand{0.0};        ///< arrivals a second, averaged
+        double m_elsewhere{0.0};     ///< arrivals a second at all other nodes
         std::uint64_t m_arrivals{0};
         time_point m_refilled_at{};
         time_point m_estimated_at{};
     };
 
-    static void refill(account_state& state, time_point now);
+    void refill(account_state& state, time_point now) const;
     static void estimate(account_state& state, time_point now);
     void divide(account_state& state) const;
 
+    account_bound m_bound;
     std::unordered_map<std::string, account_state> m_accounts;
     std::size_t m_nodes{0};
 };
--- a/packages/fleet/include/teasellead/fleet/roster.hpp
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -16,11 +16,12 @@
 struct roster_settings
 {
     duration m_gossip_period{std::chrono::milliseconds{500}};
-    std::size_t m_fanout{2};                                ///< peers that receive each notice
-    std::size_t m_max_records{24};                          ///< records of a notice
-    duration m_silence{std::chrono::seconds{8}};            ///< after which one silent node is forgotten
-    duration m_partition_silence{std::chrono::seconds{30}}; ///< the same if most others are silent too
-    duration m_join_time{std::chrono::milliseconds{1500}};  ///< after which a node without answers is alone
+    duration m_joining_period{std::chrono::milliseconds{100}}; ///< the same just after a start
+    std::size_t m_fanout{2};                                   ///< peers that receive each notice
+    std::size_t m_max_records{24};                             ///< records of a notice
+    duration m_silence{std::chrono::seconds{8}};               ///< after which one silent node is forgotten
+    duration m_partition_silence{std::chrono::seconds{30}};    ///< the same if most others are silent too
+    duration m_join_time{std::chrono::milliseconds{1500}}; ///< after which a node without answers is alone
     duration m_settling_time{std::chrono::seconds{2}}; ///< after a start, in which others may be unknown yet
     std::size_t m_least_nodes_at_start{10};            ///< nodes that are assumed meanwhile
 
@@ -89,6 +90,9 @@
     /// demand at all other nodes that may be serving, by account
     [[nodiscard]] std::vector<account_demand> demand_elsewhere(time_point now) const;
 
+    /// addresses to which notices may go: the counted nodes and the seeds
+    [[nodiscard]] std::vector<endpoint> receivers(time_point now) const;
+
     /// addresses of the counted nodes, without this one
     [[nodiscard]] std::vector<endpoint> peers(time_point now) const;
 
--- a/packages/fleet/src/account_quota.cpp
+++ b/packages/fleet/src/account_quota.cpp
@@ -15,12 +15,11 @@
 constexpr duration min_estimate_interval = std::chrono::milliseconds{200};
 // part of a limit that is divided equally, for callers who come to a node for the first time
 constexpr double equal_part = 0.15;
-// tokens that a bucket holds at least, so that a small account is served at every node
-constexpr double min_bucket = 1.5;
-// time of this node's rate that its bucket may hold on top of its part of the burst
-constexpr double bucket_s = 0.2;
-// the bound leaves room for parts that don't agree yet; a part of it serves callers near their limit
-constexpr double rate_headroom = 1.08;
+// part of what all nodes may admit in a window that their shares add up to; the rest covers shares that were
+// computed from different views
+constexpr double usable_part = 0.92;
+// callers near their limit come in bursts, so the rate of the shares is a little above it
+constexpr double rate_headroom = 1.05;
 
 double seconds_of(duration length)
 {
@@ -121,12 +120,16 @@
     return result;
 }
 
-void account_quota::refill(account_state& state, time_point now)
+void account_quota::refill(account_state& state, time_point now) const
 {
     const double passed_s = seconds_of(now - state.m_refilled_at);
     state.m_refilled_at = now;
     const double rate = rate_headroom * state.m_rate * state.m_part;
-    const double capacity = std::max(min_bucket, rate * bucket_s + state.m_burst * state.m_part);
+    const double window_s = seconds_of(m_bound.m_window);
+    const double allowed =
+        (state.m_rate * window_s + state.m_burst) * (1.0 + m_bound.m_overage) + m_bound.m_slack;
+    const double capacity_of_all = usable_part * allowed - rate_headroom * state.m_rate * window_s;
+    const double capacity = capacity_of_all * state.m_capacity_part;
     state.m_tokens = std::min(capacity, state.m_tokens + rate * passed_s);
 }
 
@@ -153,12 +156,15 @@
     if (m_nodes == 0)
     {
         state.m_part = 0.0;
+        state.m_capacity_part = 0.0;
         return;
     }
     const double equal = 1.0 / static_cast<double>(m_nodes);
     const double all = state.m_demand + state.m_elsewhere;
     const double by_demand = all > 0.0 ? state.m_demand / all : equal;
     state.m_part = equal_part * equal + (1.0 - equal_part) * by_demand;
+    // bursts come to any node
+    state.m_capacity_part = (equal + state.m_part) / 2.0;
 }
 
 } // namespace teasellead
--- a/packages/fleet/src/roster.cpp
+++ b/packages/fleet/src/roster.cpp
@@ -89,7 +89,8 @@
     {
         return {};
     }
-    m_next_gossip = now + m_settings.m_gossip_period;
+    const bool is_new = now - m_started_at < m_settings.m_settling_time;
+    m_next_gossip = now + (is_new ? m_settings.m_joining_period : m_settings.m_gossip_period);
     ++m_own.m_sequence;
     m_own.m_leaving = leaving;
     m_own.m_demand = std::move(demand);
@@ -102,13 +103,12 @@
     {
         const endpoint seed = m_seeds[random.below(m_seeds.size())];
         constexpr std::uint64_t seed_interval = 6;
-        const bool is_due = !has_joined(now) || m_nodes.empty() || m_own.m_sequence % seed_interval == 0;
+        const bool is_due = is_new || m_nodes.empty() || m_own.m_sequence % seed_interval == 0;
         if (is_due && std::find(receivers.begin(), receivers.end(), seed) == receivers.end())
         {
             receivers.push_back(seed);
         }
     }
-    const bool is_new = now - m_started_at < m_settings.m_settling_time;
     std::vector<outgoing_message> result;
     for (const endpoint& receiver : receivers)
     {
@@ -193,6 +193,13 @@
     return result;
 }
 
+std::vector<endpoint> roster::receivers(time_point now) const
+{
+    std::vector<endpoint> result = peers(now);
+    result.insert(result.end(), m_seeds.begin(), m_seeds.end());
+    return result;
+}
+
 std::vector<endpoint> roster::peers(time_point now) const
 {
     std::vector<endpoint> result;
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "teasellead/fleet/account_quota.hpp"
 #include "teasellead/fleet/roster.hpp"
 #include "teasellead/forwarding/attempt_budget.hpp"
 #include "teasellead/forwarding/route.hpp"
@@ -32,6 +33,7 @@
     duration m_key_freshness{}; ///< age of the configuration beyond which no key is believed
     duration m_grace{};         ///< time from the order to stop to its end
     forwarding::attempt_budget_settings m_attempt_budget;
+    account_bound m_account_bound;
     double m_cold_overage{1.0}; ///< factor on a cold upstream's rate that all nodes may reach together
 
     friend bool operator==(const forwarding_settings&, const forwarding_settings&) = default;
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -25,7 +25,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds tick_period{200};
+constexpr milliseconds tick_period{100};
 constexpr milliseconds connect_timeout{400};
 constexpr unsigned ok = 200;
 // a balancer needs this long after the first miss until it sends nothing more
@@ -55,6 +55,7 @@
           m_log(log, m_clock), m_random(new_incarnation()), m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
           m_ticker(m_loop), m_stop_timer(m_loop), m_budget(m_settings.m_attempt_budget),
           m_freshness(m_settings.m_key_freshness), m_directory(m_settings.m_data_centre),
+          m_quota(m_settings.m_account_bound),
           m_members(m_settings.m_peers, new_incarnation(), m_settings.m_seeds, roster_settings{},
                     m_clock.now()),
           m_gossip(m_loop, m_clock, make_zmq_peer_link(m_settings.m_peers, new_incarnation(), fleet_key{}),
--- a/packages/runtime/src/peer_gossip.cpp
+++ b/packages/runtime/src/peer_gossip.cpp
@@ -53,7 +53,7 @@
 
 void peer_gossip::retain()
 {
-    m_link->retain(m_members.peers(m_clock.now()));
+    m_link->retain(m_members.receivers(m_clock.now()));
 }
 
 } // namespace teasellead::runtime
