Divide account limits by demand that the other nodes know too

Ruled out: bucket capacities (they stay within the bound), nodes unknown to each other.

Change: a node divides by its own demand as it was when its report reached the others.

--- a/packages/fleet/include/teasellead/fleet/account_quota.hpp
+++ b/packages/fleet/include/teasellead/fleet/account_quota.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -69,6 +70,12 @@
     [[nodiscard]] std::vector<account_demand> demand(time_point now);
 
   private:
+    struct demand_sample
+    {
+        time_point m_at;
+        double m_rate{0.0};
+    };
+
     struct account_state
     {
         double m_rate{0.0};  ///< declared limit
@@ -77,7 +84,9 @@
         double m_part{0.0};          ///< this node's part of the rate
         double m_capacity_part{0.0}; ///< this node's part of what may be saved up
         double m_demand{0.0};        ///< arrivals a second, averaged
-        double m_elsewhere{0.0};     ///< arrivals a second at all other nodes
+        double m_known_demand{0.0};  ///< the same as the other nodes know it by now
+        std::deque<demand_sample> m_samples;
+        double m_elsewhere{0.0}; ///< arrivals a second at all other nodes
         std::uint64_t m_arrivals{0};
         time_point m_refilled_at{};
         time_point m_estimated_at{};
--- a/packages/fleet/src/account_quota.cpp
+++ b/packages/fleet/src/account_quota.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr double demand_memory_s = 1.5;
+// time that a report takes to reach most other nodes
+constexpr duration gossip_delay = std::chrono::seconds{1};
 constexpr duration min_estimate_interval = std::chrono::milliseconds{200};
 // part of a limit that is divided equally, for callers who come to a node for the first time
 constexpr double equal_part = 0.15;
@@ -149,6 +151,13 @@
     }
     state.m_arrivals = 0;
     state.m_estimated_at = now;
+    // the shares of all nodes add up only if each divides by demands that the others know too
+    state.m_samples.push_back({now, state.m_demand});
+    while (state.m_samples.size() > 1 && state.m_samples[1].m_at + gossip_delay <= now)
+    {
+        state.m_samples.pop_front();
+    }
+    state.m_known_demand = state.m_samples.front().m_rate;
 }
 
 void account_quota::divide(account_state& state) const
@@ -160,8 +169,8 @@
         return;
     }
     const double equal = 1.0 / static_cast<double>(m_nodes);
-    const double all = state.m_demand + state.m_elsewhere;
-    const double by_demand = all > 0.0 ? state.m_demand / all : equal;
+    const double all = state.m_known_demand + state.m_elsewhere;
+    const double by_demand = all > 0.0 ? state.m_known_demand / all : equal;
     state.m_part = equal_part * equal + (1.0 - equal_part) * by_demand;
     // bursts come to any node
     state.m_capacity_part = (equal + state.m_part) / 2.0;
