--- a/packages/fleet/src/account_quota.cpp
+++ b/packages/fleet/src/account_quota.cpp
@@ -20,8 +20,9 @@
 // part of what all nodes may admit in a window that their shares add up to; the rest covers shares that were
 // computed from different views
 constexpr double usable_part = 0.92;
-// callers near their limit come in bursts, so the rate of the shares is a little above it
-constexpr double rate_headroom = 1.05;
+// part of the overage by which the shares' rate exceeds the declared one, so that callers within their limit
+// aren't refused where more of them than usual meet one node
+constexpr double usable_overage = 0.8;
 
 double seconds_of(duration length)
 {
@@ -126,11 +127,12 @@
 {
     const double passed_s = seconds_of(now - state.m_refilled_at);
     state.m_refilled_at = now;
-    const double rate = rate_headroom * state.m_rate * state.m_part;
+    const double rate_of_all = state.m_rate * (1.0 + usable_overage * m_bound.m_overage);
+    const double rate = rate_of_all * state.m_part;
     const double window_s = seconds_of(m_bound.m_window);
     const double allowed =
         (state.m_rate * window_s + state.m_burst) * (1.0 + m_bound.m_overage) + m_bound.m_slack;
-    const double capacity_of_all = usable_part * allowed - rate_headroom * state.m_rate * window_s;
+    const double capacity_of_all = usable_part * allowed - rate_of_all * window_s;
     const double capacity = capacity_of_all * state.m_capacity_part;
     state.m_tokens = std::min(capacity, state.m_tokens + rate * passed_s);
 }
--- /dev/null
+++ b/tests/unit/fleet/unit-roster.cpp
@@ -0,0 +1,276 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "teasellead/fleet/account_quota.hpp"
+#include "teasellead/fleet/roster.hpp"
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace teasellead;
+
+constexpr time_point start{1h};
+constexpr duration step = 100ms;
+
+/// nodes that gossip over links with a delay, some of which lose messages or are cut
+class gossip_fleet
+{
+  public:
+    gossip_fleet(std::size_t nodes, std::uint64_t seed, double loss) : m_random(seed), m_loss(loss)
+    {
+        for (std::size_t i = 0; i < nodes; ++i)
+        {
+            m_nodes.emplace(address_of(i), make(address_of(i), 1));
+        }
+    }
+
+    static endpoint address_of(std::size_t node)
+    {
+        return endpoint{static_cast<std::uint32_t>(10 + node), 7000};
+    }
+
+    void restart(std::size_t node, node_incarnation incarnation)
+    {
+        m_nodes.at(address_of(node)) = make(address_of(node), incarnation);
+    }
+
+    void stop(std::size_t node)
+    {
+        m_nodes.erase(address_of(node));
+    }
+
+    /// cuts the nodes below a number from the others
+    void cut(std::size_t border)
+    {
+        m_border = border;
+    }
+
+    void run(duration time)
+    {
+        for (const time_point end = m_now + time; m_now < end; m_now += step)
+        {
+            for (auto& [address, node] : m_nodes)
+            {
+                post(address, node->on_tick({{"school", 1.0}}, false, m_random, m_now));
+            }
+            deliver();
+        }
+    }
+
+    roster& at(std::size_t node)
+    {
+        return *m_nodes.at(address_of(node));
+    }
+
+    [[nodiscard]] time_point now() const
+    {
+        return m_now;
+    }
+
+  private:
+    struct flying
+    {
+        endpoint m_sender;
+        outgoing_message m_message;
+    };
+
+    std::unique_ptr<roster> make(const endpoint& address, node_incarnation incarnation)
+    {
+        const std::vector<endpoint> seeds{address_of(0), address_of(1), address_of(2)};
+        return std::make_unique<roster>(address, incarnation, seeds, roster_settings{}, m_now);
+    }
+
+    void post(const endpoint& sender, const std::vector<outgoing_message>& messages)
+    {
+        for (const outgoing_message& message : messages)
+        {
+            m_flying.push_back({sender, message});
+        }
+    }
+
+    [[nodiscard]] bool is_cut(const endpoint& sender, const endpoint& receiver) const
+    {
+        const endpoint border = address_of(m_border);
+        return (sender < border) != (receiver < border);
+    }
+
+    void deliver()
+    {
+        std::deque<flying> arrived;
+        std::swap(arrived, m_flying);
+        for (const flying& each : arrived)
+        {
+            const auto receiver = m_nodes.find(each.m_message.m_receiver);
+            const bool is_lost = m_random.unit() < m_loss || is_cut(each.m_sender, each.m_message.m_receiver);
+            if (receiver != m_nodes.end() && !is_lost)
+            {
+                const auto& notice = std::get<roster_notice>(each.m_message.m_content);
+                post(receiver->first, receiver->second->on_notice(each.m_sender, notice, m_now));
+            }
+        }
+    }
+
+    random_source m_random;
+    double m_loss;
+    std::size_t m_border{0};
+    time_point m_now{start};
+    std::map<endpoint, std::unique_ptr<roster>> m_nodes;
+    std::deque<flying> m_flying;
+};
+
+class roster_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(roster_test);
+    CPPUNIT_TEST(all_nodes_know_each_other_soon);
+    CPPUNIT_TEST(lone_node_counts_itself_after_the_joining_time);
+    CPPUNIT_TEST(new_node_assumes_others_until_it_has_settled);
+    CPPUNIT_TEST(stopped_node_is_counted_until_it_cannot_serve);
+    CPPUNIT_TEST(minority_keeps_counting_the_others);
+    CPPUNIT_TEST(restarted_node_is_heard_although_its_counts_begin_anew);
+    CPPUNIT_TEST(groups_meet_again_after_a_long_cut);
+    CPPUNIT_TEST(quota_shares_never_exceed_the_bound);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void all_nodes_know_each_other_soon()
+    {
+        for (std::uint64_t seed = 1; seed <= 100; ++seed)
+        {
+            gossip_fleet fleet{8, seed, 0.1};
+            fleet.run(4s);
+            for (std::size_t node = 0; node < 8; ++node)
+            {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{8}, fleet.at(node).counted_nodes(fleet.now()));
+            }
+        }
+    }
+
+    void lone_node_counts_itself_after_the_joining_time()
+    {
+        gossip_fleet fleet{1, 1, 0.0};
+        fleet.run(1s);
+        CPPUNIT_ASSERT(!fleet.at(0).has_joined(fleet.now()));
+        fleet.run(2s);
+        CPPUNIT_ASSERT(fleet.at(0).has_joined(fleet.now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.at(0).counted_nodes(fleet.now()));
+    }
+
+    void new_node_assumes_others_until_it_has_settled()
+    {
+        gossip_fleet fleet{3, 1, 0.0};
+        fleet.run(500ms);
+        CPPUNIT_ASSERT_EQUAL(roster_settings{}.m_least_nodes_at_start,
+                             fleet.at(0).counted_nodes(fleet.now()));
+        fleet.run(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.at(0).counted_nodes(fleet.now()));
+    }
+
+    void stopped_node_is_counted_until_it_cannot_serve()
+    {
+        gossip_fleet fleet{8, 5, 0.0};
+        fleet.run(5s);
+        fleet.stop(7);
+        fleet.run(7s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, fleet.at(0).counted_nodes(fleet.now()));
+        fleet.run(6s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, fleet.at(0).counted_nodes(fleet.now()));
+    }
+
+    void minority_keeps_counting_the_others()
+    {
+        gossip_fleet fleet{8, 6, 0.0};
+        fleet.run(5s);
+        fleet.cut(2);
+        fleet.run(20s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, fleet.at(0).counted_nodes(fleet.now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, fleet.at(5).counted_nodes(fleet.now()));
+    }
+
+    void restarted_node_is_heard_although_its_counts_begin_anew()
+    {
+        gossip_fleet fleet{4, 7, 0.0};
+        fleet.run(10s);
+        fleet.restart(3, 1);
+        fleet.run(20s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.at(0).counted_nodes(fleet.now()));
+        fleet.restart(3, 2);
+        fleet.run(20s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.at(0).counted_nodes(fleet.now()));
+    }
+
+    void groups_meet_again_after_a_long_cut()
+    {
+        gossip_fleet fleet{8, 8, 0.0};
+        fleet.run(5s);
+        fleet.cut(4);
+        fleet.run(60s);
+        fleet.cut(0);
+        fleet.run(20s);
+        for (std::size_t node = 0; node < 8; ++node)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{8}, fleet.at(node).counted_nodes(fleet.now()));
+        }
+    }
+
+    /// the demand of one account grows sixfold at once, at nodes that hear of each other late
+    void quota_shares_never_exceed_the_bound()
+    {
+        const forwarding::account school{"school", 80.0, 80.0, {}};
+        const account_bound bound{5s, 0.25, 20.0};
+        const double allowed = (80.0 * 5 + 80.0) * 1.25 + 20.0;
+        constexpr std::size_t nodes = 8;
+        for (std::uint64_t seed = 1; seed <= 50; ++seed)
+        {
+            random_source random{seed};
+            std::vector<account_quota> quotas(nodes, account_quota{bound});
+            for (account_quota& quota : quotas)
+            {
+                quota.on_declarations({school}, start);
+            }
+            std::vector<std::vector<double>> reports(nodes, std::vector<double>(11, 0.0));
+            std::deque<time_point> admitted;
+            std::vector<double> weights(nodes);
+            std::generate(weights.begin(), weights.end(), [&random] { return 0.3 + random.unit(); });
+            for (time_point now = start; now < start + 30s; now += step)
+            {
+                const double surge = now > start + 10s && now < start + 18s ? 6.0 : 0.8;
+                for (std::size_t i = 0; i < nodes; ++i)
+                {
+                    double elsewhere = 0.0;
+                    for (std::size_t other = 0; other < nodes; ++other)
+                    {
+                        elsewhere += other == i ? 0.0 : reports[other][5 + random.below(6)];
+                    }
+                    quotas[i].on_view({{"school", elsewhere}}, nodes, now);
+                    const double arrivals = 80.0 * surge * weights[i] / nodes * 0.1;
+                    const auto count = static_cast<int>(arrivals + random.unit());
+                    for (int each = 0; each < count; ++each)
+                    {
+                        if (quotas[i].admit("school", now) == duration::zero())
+                        {
+                            admitted.push_back(now);
+                        }
+                    }
+                    const auto demand = quotas[i].demand(now);
+                    reports[i].insert(reports[i].begin(), demand.empty() ? 0.0 : demand.front().m_rate);
+                    reports[i].pop_back();
+                }
+                while (!admitted.empty() && admitted.front() <= now - 5s)
+                {
+                    admitted.pop_front();
+                }
+                CPPUNIT_ASSERT(static_cast<double>(admitted.size()) <= allowed);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(roster_test);
+
+} // namespace
--- /dev/null
+++ b/tests/unit/forwarding/unit-attempt-budget.cpp
@@ -0,0 +1,105 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <vector>
+
+#include "teasellead/forwarding/attempt_budget.hpp"
+#include "teasellead/forwarding/freshness.hpp"
+#include "teasellead/kernel/random.hpp"
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace teasellead;
+using namespace teasellead::forwarding;
+
+constexpr time_point start{1h};
+
+class attempt_budget_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(attempt_budget_test);
+    CPPUNIT_TEST(all_nodes_together_keep_the_bound_in_any_window);
+    CPPUNIT_TEST(services_have_budgets_of_their_own);
+    CPPUNIT_TEST(proof_counts_from_the_question);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    /// nodes that spend all they may, with restarts, against a count of every window
+    void all_nodes_together_keep_the_bound_in_any_window()
+    {
+        constexpr std::size_t nodes = 8;
+        constexpr double slack = 56.0;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        {
+            random_source random{seed};
+            std::vector<attempt_budget> budgets(nodes, attempt_budget{{0.2, slack, 10s}});
+            for (attempt_budget& budget : budgets)
+            {
+                budget.set_part(1.0 / nodes);
+            }
+            std::deque<time_point> requests;
+            std::deque<time_point> extra;
+            const double rate = 1.0 + 30.0 * random.unit();
+            for (time_point now = start; now < start + 60s; now += 20ms)
+            {
+                for (attempt_budget& budget : budgets)
+                {
+                    if (random.unit() < rate * 0.02 / nodes)
+                    {
+                        budget.on_request("a", now);
+                        requests.push_back(now);
+                    }
+                    while (budget.try_spend("a", now))
+                    {
+                        extra.push_back(now);
+                    }
+                }
+                if (random.unit() < 0.001)
+                {
+                    const std::size_t restarted = random.below(nodes);
+                    budgets[restarted] = attempt_budget{{0.2, slack, 10s}};
+                    budgets[restarted].set_part(1.0 / nodes);
+                }
+                while (!requests.empty() && requests.front() <= now - 20s)
+                {
+                    requests.pop_front();
+                }
+                while (!extra.empty() && extra.front() <= now - 10s)
+                {
+                    extra.pop_front();
+                }
+                CPPUNIT_ASSERT(static_cast<double>(extra.size()) <=
+                               0.2 * static_cast<double>(requests.size()) + slack);
+            }
+        }
+    }
+
+    void services_have_budgets_of_their_own()
+    {
+        attempt_budget budget{{0.2, 4.0, 10s}};
+        budget.set_part(1.0);
+        CPPUNIT_ASSERT(budget.try_spend("a", start));
+        CPPUNIT_ASSERT(budget.try_spend("a", start));
+        CPPUNIT_ASSERT(!budget.try_spend("a", start));
+        CPPUNIT_ASSERT(budget.try_spend("b", start));
+        // the window has passed
+        CPPUNIT_ASSERT(budget.try_spend("a", start + 11s));
+    }
+
+    void proof_counts_from_the_question()
+    {
+        freshness lease{3s};
+        CPPUNIT_ASSERT(!lease.holds(start));
+        lease.on_proof(start);
+        CPPUNIT_ASSERT(lease.holds(start + 2999ms));
+        CPPUNIT_ASSERT(!lease.holds(start + 3s));
+        lease.on_proof(start + 2s);
+        lease.on_proof(start + 1s);
+        CPPUNIT_ASSERT(lease.holds(start + 4s));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(attempt_budget_test);
+
+} // namespace
--- /dev/null
+++ b/tests/unit/forwarding/unit-dispatch.cpp
@@ -0,0 +1,273 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+#include "dispatch_fixture.hpp"
+
+namespace
+{
+
+using namespace teasellead;
+using namespace teasellead::forwarding;
+using namespace teasellead::test;
+
+const unanswered& unanswered_of(const dispatch& request)
+{
+    return std::get<unanswered>(request.result());
+}
+
+class dispatch_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(dispatch_test);
+    CPPUNIT_TEST(failure_decides_about_a_second_send);
+    CPPUNIT_TEST(verdict_of_an_unanswered_request_is_true);
+    CPPUNIT_TEST(status_of_the_upstream_is_passed_on);
+    CPPUNIT_TEST(refuses_at_once_what_no_upstream_can_run);
+    CPPUNIT_TEST(waits_for_room_only_a_part_of_the_objective);
+    CPPUNIT_TEST(hedges_a_silent_attempt_and_takes_the_first_reply);
+    CPPUNIT_TEST(never_hedges_what_may_not_repeat);
+    CPPUNIT_TEST(empty_budget_allows_no_second_send);
+    CPPUNIT_TEST(scatter_takes_all_parts);
+    CPPUNIT_TEST(scatter_ends_partial_once_waiting_costs_more);
+    CPPUNIT_TEST(scatter_waits_below_its_least_coverage);
+    CPPUNIT_TEST(scatter_with_a_dead_shard_answers_without_it);
+    CPPUNIT_TEST(scatter_that_cannot_reach_its_coverage_is_not_begun);
+    CPPUNIT_TEST(ends_at_its_time);
+    CPPUNIT_TEST(wakeups_move_on);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void failure_decides_about_a_second_send()
+    {
+        struct row
+        {
+            repeatability m_kind;
+            attempt_failure m_failure;
+            bool m_is_sent_again;
+        };
+        constexpr std::array<row, 10> rows{{
+            {repeatability::idempotent, attempt_failure::not_connected, true},
+            {repeatability::idempotent, attempt_failure::shed, true},
+            {repeatability::idempotent, attempt_failure::wrong_instance, true},
+            {repeatability::idempotent, attempt_failure::broken, true},
+            {repeatability::idempotent, attempt_failure::failed, true},
+            {repeatability::non_idempotent, attempt_failure::not_connected, true},
+            {repeatability::non_idempotent, attempt_failure::shed, true},
+            {repeatability::non_idempotent, attempt_failure::wrong_instance, true},
+            {repeatability::non_idempotent, attempt_failure::broken, false},
+            {repeatability::non_idempotent, attempt_failure::abandoned, false},
+        }};
+        for (const row& each : rows)
+        {
+            dispatch_fixture fixture{{"a"}};
+            dispatch request = fixture.single(each.m_kind);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sends_of(request.start(dispatch_start)).size());
+            const auto actions = request.on_failure(0, each.m_failure, dispatch_start + 1ms);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string{to_string(each.m_failure)}, each.m_is_sent_again,
+                                         !sends_of(actions).empty());
+        }
+    }
+
+    void verdict_of_an_unanswered_request_is_true()
+    {
+        struct row
+        {
+            attempt_failure m_first;
+            attempt_failure m_second;
+            verdict m_expected;
+        };
+        constexpr std::array<row, 4> rows{{
+            {attempt_failure::shed, attempt_failure::shed, verdict::not_run},
+            {attempt_failure::not_connected, attempt_failure::wrong_instance, verdict::not_run},
+            {attempt_failure::shed, attempt_failure::broken, verdict::may_have_run},
+            {attempt_failure::not_connected, attempt_failure::broken, verdict::may_have_run},
+        }};
+        for (const row& each : rows)
+        {
+            dispatch_fixture fixture{{"a"}};
+            dispatch request = fixture.single(repeatability::non_idempotent, 2);
+            (void)request.start(dispatch_start);
+            (void)request.on_failure(0, each.m_first, dispatch_start + 1ms);
+            (void)request.on_failure(1, each.m_second, dispatch_start + 2ms);
+            CPPUNIT_ASSERT(request.is_finished());
+            CPPUNIT_ASSERT(unanswered_of(request).m_verdict == each.m_expected);
+        }
+    }
+
+    void status_of_the_upstream_is_passed_on()
+    {
+        struct row
+        {
+            repeatability m_kind;
+            unsigned m_status;
+            std::size_t m_sends; ///< after the first
+        };
+        constexpr std::array<row, 4> rows{{
+            {repeatability::idempotent, 200, 0},
+            {repeatability::idempotent, 404, 0},
+            {repeatability::idempotent, 500, 1},
+            {repeatability::non_idempotent, 500, 0},
+        }};
+        for (const row& each : rows)
+        {
+            dispatch_fixture fixture{{"a"}};
+            dispatch request = fixture.single(each.m_kind);
+            (void)request.start(dispatch_start);
+            const auto actions = request.on_reply(0, reply_of(each.m_status), dispatch_start + 1ms);
+            CPPUNIT_ASSERT_EQUAL(each.m_sends, sends_of(actions).size());
+            if (each.m_sends > 0)
+            {
+                (void)request.on_reply(1, reply_of(each.m_status), dispatch_start + 2ms);
+            }
+            CPPUNIT_ASSERT_EQUAL(each.m_status, std::get<forwarded>(request.result()).m_reply.m_status);
+        }
+    }
+
+    void refuses_at_once_what_no_upstream_can_run()
+    {
+        dispatch_fixture fixture{{"b"}};
+        dispatch request = fixture.single(repeatability::idempotent);
+        CPPUNIT_ASSERT(request.start(dispatch_start).empty());
+        CPPUNIT_ASSERT(request.is_finished());
+        CPPUNIT_ASSERT(unanswered_of(request).m_verdict == verdict::not_run);
+        CPPUNIT_ASSERT(unanswered_of(request).m_retry_after > 0ms);
+    }
+
+    void waits_for_room_only_a_part_of_the_objective()
+    {
+        dispatch_fixture fixture{{"a"}};
+        fixture.m_has_room = false;
+        dispatch request = fixture.single(repeatability::idempotent);
+        CPPUNIT_ASSERT(request.start(dispatch_start).empty());
+        CPPUNIT_ASSERT(!request.is_finished());
+        time_point now = dispatch_start;
+        while (!request.is_finished())
+        {
+            now = request.next_wakeup();
+            CPPUNIT_ASSERT(now < dispatch_start + 25ms);
+            CPPUNIT_ASSERT(sends_of(request.on_time(now)).empty());
+        }
+        CPPUNIT_ASSERT(unanswered_of(request).m_reason == failure_reason::overloaded);
+        CPPUNIT_ASSERT(unanswered_of(request).m_verdict == verdict::not_run);
+    }
+
+    void hedges_a_silent_attempt_and_takes_the_first_reply()
+    {
+        dispatch_fixture fixture{{"a"}};
+        dispatch request = fixture.single(repeatability::idempotent);
+        (void)request.start(dispatch_start);
+        const time_point hedge_at = request.next_wakeup();
+        CPPUNIT_ASSERT(hedge_at < dispatch_start + 100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sends_of(request.on_time(hedge_at)).size());
+        const auto actions = request.on_reply(1, reply_of(200, "second"), hedge_at + 5ms);
+        CPPUNIT_ASSERT(actions == std::vector<dispatch_action>{release_attempt{0}} || actions.size() == 2);
+        CPPUNIT_ASSERT_EQUAL(std::string{"second"}, std::get<forwarded>(request.result()).m_reply.m_body);
+        // the late reply changes nothing
+        CPPUNIT_ASSERT(request.on_reply(0, reply_of(200, "first"), hedge_at + 9ms).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string{"second"}, std::get<forwarded>(request.result()).m_reply.m_body);
+    }
+
+    void never_hedges_what_may_not_repeat()
+    {
+        dispatch_fixture fixture{{"a"}};
+        dispatch request = fixture.single(repeatability::non_idempotent);
+        (void)request.start(dispatch_start);
+        while (!request.is_finished())
+        {
+            CPPUNIT_ASSERT(sends_of(request.on_time(request.next_wakeup())).empty());
+        }
+        CPPUNIT_ASSERT(unanswered_of(request).m_verdict == verdict::may_have_run);
+    }
+
+    void empty_budget_allows_no_second_send()
+    {
+        dispatch_fixture fixture{{"a"}, 2, 0.0};
+        dispatch request = fixture.single(repeatability::idempotent);
+        (void)request.start(dispatch_start);
+        CPPUNIT_ASSERT(sends_of(request.on_failure(0, attempt_failure::shed, dispatch_start + 1ms)).empty());
+        CPPUNIT_ASSERT(unanswered_of(request).m_verdict == verdict::not_run);
+    }
+
+    void scatter_takes_all_parts()
+    {
+        dispatch_fixture fixture{{"a", "b"}};
+        dispatch request = fixture.over_shards({"a", "b"}, 0.5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sends_of(request.start(dispatch_start)).size());
+        (void)request.on_reply(1, reply_of(200, "of b"), dispatch_start + 1ms);
+        CPPUNIT_ASSERT(!request.is_finished());
+        (void)request.on_reply(0, reply_of(200, "of a"), dispatch_start + 2ms);
+        const gathered& result = std::get<gathered>(request.result());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, result.m_parts.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.m_missing);
+    }
+
+    void scatter_ends_partial_once_waiting_costs_more()
+    {
+        dispatch_fixture fixture{{"a", "b"}, 1};
+        dispatch request = fixture.over_shards({"a", "b"}, 0.5);
+        (void)request.start(dispatch_start);
+        (void)request.on_reply(0, reply_of(200, "of a"), dispatch_start + 1ms);
+        (void)request.on_time(dispatch_start + 60ms);
+        CPPUNIT_ASSERT(!request.is_finished());
+        (void)request.on_time(dispatch_start + 90ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, std::get<gathered>(request.result()).m_missing);
+    }
+
+    void scatter_waits_below_its_least_coverage()
+    {
+        dispatch_fixture fixture{{"a", "b"}, 1};
+        dispatch request = fixture.over_shards({"a", "b"}, 0.9);
+        (void)request.start(dispatch_start);
+        (void)request.on_reply(0, reply_of(200, "of a"), dispatch_start + 1ms);
+        (void)request.on_time(dispatch_start + 500ms);
+        CPPUNIT_ASSERT(!request.is_finished());
+        (void)request.on_reply(1, reply_of(200, "of b"), dispatch_start + 600ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, std::get<gathered>(request.result()).m_missing);
+    }
+
+    void scatter_with_a_dead_shard_answers_without_it()
+    {
+        dispatch_fixture fixture{{"a"}};
+        dispatch request = fixture.over_shards({"a", "b"}, 0.5);
+        (void)request.start(dispatch_start);
+        (void)request.on_reply(0, reply_of(200, "of a"), dispatch_start + 1ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, std::get<gathered>(request.result()).m_missing);
+    }
+
+    void scatter_that_cannot_reach_its_coverage_is_not_begun()
+    {
+        dispatch_fixture fixture{{"a"}};
+        dispatch request = fixture.over_shards({"a", "b"}, 0.9);
+        CPPUNIT_ASSERT(request.start(dispatch_start).empty());
+        CPPUNIT_ASSERT(unanswered_of(request).m_verdict == verdict::not_run);
+    }
+
+    void ends_at_its_time()
+    {
+        dispatch_fixture fixture{{"a"}, 1};
+        dispatch request = fixture.single(repeatability::idempotent);
+        (void)request.start(dispatch_start);
+        (void)request.on_time(dispatch_start + 1s);
+        CPPUNIT_ASSERT(unanswered_of(request).m_reason == failure_reason::timed_out);
+        CPPUNIT_ASSERT(unanswered_of(request).m_verdict == verdict::may_have_run);
+    }
+
+    void wakeups_move_on()
+    {
+        dispatch_fixture fixture{{"a", "b"}};
+        dispatch request = fixture.over_shards({"a", "b"}, 1.0);
+        (void)request.start(dispatch_start);
+        time_point last = dispatch_start;
+        while (!request.is_finished())
+        {
+            const time_point next = request.next_wakeup();
+            CPPUNIT_ASSERT(next > last);
+            (void)request.on_time(next);
+            last = next;
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatch_test);
+
+} // namespace
