--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -238,10 +238,7 @@
         const std::size_t counted = m_members.counted_nodes(now);
         m_nodes = std::max<std::size_t>(m_members.recent_nodes(now), 1);
         m_budget.set_part(1.0 / static_cast<double>(m_nodes));
-        if (m_members.has_joined(now))
-        {
-            m_quota.on_view(m_members.demand_elsewhere(now), counted, now);
-        }
+        m_quota.on_view(m_members.demand_elsewhere(now), counted, now);
         if (counted != m_logged_nodes)
         {
             m_logged_nodes = counted;
