Refuse at once when an owner grants less than asked; hedge by a route's own latency

Tokens live on after their grant, so the bound could be exceeded by what was granted just before the window.

Change: the ledger records what it asks; the simulated fleet checks that each request is decided within 180 ms (fails before the mend); the bucket counts the life of granted tokens. A partial answer leaves 16 ms before the objective's end.

--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -17,15 +17,15 @@
 
 // part of what all nodes may admit in a window that one bucket gives away; the rest covers a change of the
 // owner
-constexpr double usable_part = 0.88;
+constexpr double usable_part = 0.9;
 // part of the overage by which the bucket's rate exceeds the declared one; tokens that expire unused come out
 // of it
-constexpr double usable_overage = 0.8;
+constexpr double usable_overage = 0.6;
 constexpr double demand_memory_s = 1.0;
 // requests of this time are asked for ahead
 constexpr double lookahead_s = 0.3;
 constexpr double max_lookahead_tokens = 8.0;
-constexpr milliseconds stock_lifetime{800};
+constexpr milliseconds stock_lifetime{400};
 constexpr milliseconds answer_time{40};
 constexpr milliseconds stand_in_time{1500};
 constexpr std::size_t order_size = 2;
@@ -104,9 +104,11 @@
 double quota_ledger::capacity_of_all(const account_state& state) const
 {
     const double window_s = seconds_of(m_bound.m_window);
+    // tokens that are admitted in a window may have been granted a moment before it
+    const double granted_s = window_s + seconds_of(stock_lifetime);
     const double allowed =
         (state.m_rate * window_s + state.m_burst) * (1.0 + m_bound.m_overage) + m_bound.m_slack;
-    return std::max(1.0, usable_part * allowed - rate_of_all(state) * window_s);
+    return std::max(1.0, usable_part * allowed - rate_of_all(state) * granted_s);
 }
 
 void quota_ledger::refill(bucket& target, double rate, double capacity, time_point now) const
@@ -257,8 +259,8 @@
     state.m_called = owner_of(state, now);
     const double ahead = std::min(std::floor(state.m_demand * lookahead_s), max_lookahead_tokens);
     const double wanted = std::max(1.0, static_cast<double>(state.m_waiting.size()) + ahead);
-    m_messages.push_back(
-        {state.m_called, token_request{state.m_call, name, static_cast<std::uint32_t>(wanted)}});
+    state.m_asked = static_cast<std::uint32_t>(wanted);
+    m_messages.push_back({state.m_called, token_request{state.m_call, name, state.m_asked}});
 }
 
 void quota_ledger::on_message(const endpoint& sender, const token_request& content, time_point now)
--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -111,6 +112,26 @@
 /// how a request ended
 using dispatch_result = std::variant<forwarded, gathered, unanswered>;
 
+/*!
+@brief how long the attempts of a route usually take
+
+Averages the replies of all its upstreams, which work on requests of one kind.
+*/
+class usual_latency
+{
+  public:
+    /// takes the latency of an attempt that was answered
+    void add(duration latency) noexcept;
+
+    /// time after which an attempt is later than most; nothing before enough replies
+    [[nodiscard]] std::optional<duration> late_after() const noexcept;
+
+  private:
+    duration m_mean{duration::zero()};
+    duration m_deviation{duration::zero()};
+    std::uint32_t m_replies{0};
+};
+
 /// what all requests of a node share
 struct dispatch_context
 {
@@ -118,11 +139,13 @@
     attempt_budget& m_budget;
     random_source& m_random;
     upstream_directory::room_check m_room;
+    std::unordered_map<std::string, usual_latency> m_latencies{}; ///< by route
 };
 
 /// what one request is made of
 struct dispatch_request
 {
+    std::string m_route; ///< name of the route
     repeatability m_repeatability{repeatability::non_idempotent};
     std::vector<std::string> m_services; ///< one, or the shards of a scatter
     std::optional<scatter> m_scatter;
@@ -233,7 +256,7 @@
     void finish(dispatch_result outcome, actions& result);
     [[nodiscard]] verdict current_verdict() const noexcept;
     [[nodiscard]] unanswered no_answer(failure_reason reason) const;
-    [[nodiscard]] duration hedge_delay(const leg& target) const;
+    [[nodiscard]] duration hedge_delay() const;
     [[nodiscard]] bool may_repeat() const noexcept
     {
         return m_request.m_repeatability == repeatability::idempotent;
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -13,11 +13,15 @@
 
 constexpr unsigned first_server_error = 500;
 // parts of the latency objective
-constexpr double partial_part = 0.80;
 constexpr double room_wait_part = 0.22;
-constexpr double scatter_hedge_part = 0.25;
-constexpr double single_hedge_part = 0.6;
-constexpr double hedge_latency_multiple = 2.5;
+constexpr double min_hedge_part = 0.08;
+constexpr double max_hedge_part = 0.4;
+constexpr double least_partial_part = 0.65;
+// an answer's way to the caller, and the caller's connection before the request
+constexpr duration caller_travel_time = milliseconds{16};
+constexpr int latency_memory = 64; // replies
+constexpr std::uint32_t min_latency_replies = 16;
+constexpr double late_deviations = 2.5;
 constexpr int silence_multiple = 2;
 constexpr duration room_check_interval = milliseconds{4};
 constexpr milliseconds busy_retry_after{100};
@@ -48,7 +52,8 @@
 
 dispatch::dispatch(dispatch_request request, dispatch_context& context, time_point now)
     : m_request(std::move(request)), m_context(&context), m_began(now),
-      m_partial_from(now + part_of(m_request.m_objective, partial_part)),
+      m_partial_from(now + std::max(m_request.m_objective - caller_travel_time,
+                                    part_of(m_request.m_objective, least_partial_part))),
       m_room_until(now + part_of(m_request.m_objective, room_wait_part)), m_legs(m_request.m_services.size())
 {
 }
@@ -106,7 +111,7 @@
     target.m_tried.push_back(selected);
     ++target.m_sends;
     ++target.m_active;
-    target.m_next_check = now + hedge_delay(target);
+    target.m_next_check = now + hedge_delay();
     m_attempts.push_back({index, selected, now});
     selected->on_start(now);
     result.emplace_back(send_attempt{m_attempts.size() - 1, selected});
@@ -130,11 +135,33 @@
     end_leg(target, leg_state::missing, is_full ? failure_reason::overloaded : known);
 }
 
-duration dispatch::hedge_delay(const leg& target) const
+void usual_latency::add(duration latency) noexcept
 {
-    const double part = m_request.m_scatter ? scatter_hedge_part : single_hedge_part;
-    const duration usual = target.m_tried.back()->mean_latency();
-    return std::max(part_of(m_request.m_objective, part), part_of(usual, hedge_latency_multiple));
+    if (m_replies == 0)
+    {
+        m_mean = latency;
+    }
+    ++m_replies;
+    m_mean += (latency - m_mean) / latency_memory;
+    const duration deviation = latency > m_mean ? latency - m_mean : m_mean - latency;
+    m_deviation += (deviation - m_deviation) / latency_memory;
+}
+
+std::optional<duration> usual_latency::late_after() const noexcept
+{
+    if (m_replies < min_latency_replies)
+    {
+        return std::nullopt;
+    }
+    return m_mean + std::chrono::duration_cast<duration>(m_deviation * late_deviations);
+}
+
+duration dispatch::hedge_delay() const
+{
+    const duration longest = part_of(m_request.m_objective, max_hedge_part);
+    const auto known = m_context->m_latencies.find(m_request.m_route);
+    const auto late = known == m_context->m_latencies.end() ? std::nullopt : known->second.late_after();
+    return late ? std::clamp(*late, part_of(m_request.m_objective, min_hedge_part), longest) : longest;
 }
 
 std::vector<dispatch_action> dispatch::on_reply(attempt_number attempt, upstream_reply reply, time_point now)
@@ -154,6 +181,8 @@
     if (is_success)
     {
         answered.m_upstream->on_reply(answered.m_began, reply.m_load, now);
+        m_context->m_latencies[m_request.m_route].add(
+            std::min(now - answered.m_began, m_request.m_objective));
     }
     else
     {
--- a/packages/runtime/src/admission.cpp
+++ b/packages/runtime/src/admission.cpp
@@ -67,6 +67,7 @@
                                                      const request_terms& terms, time_point now)
 {
     forwarding::dispatch_request result;
+    result.m_route = target.m_name;
     result.m_repeatability = target.m_repeatability;
     result.m_max_attempts = std::max<std::uint32_t>(target.m_max_attempts, 1);
     result.m_objective = target.m_objective;
--- a/tests/unit/fleet/unit-quota-ledger.cpp
+++ b/tests/unit/fleet/unit-quota-ledger.cpp
@@ -140,7 +140,7 @@
         }
         else
         {
-            m_pending.insert(ticket);
+            m_pending.emplace(ticket, m_now);
         }
     }
 
@@ -156,10 +156,11 @@
         {
             for (const quota_decision& decision : ledger.take_decisions())
             {
-                if (m_pending.erase(decision.m_ticket) == 0)
-                {
-                    continue;
-                }
+                const auto asked = m_pending.find(decision.m_ticket);
+                CPPUNIT_ASSERT(asked != m_pending.end());
+                // two nodes that don't answer are waited for, perhaps after one that did
+                CPPUNIT_ASSERT(m_now - asked->second <= 180ms);
+                m_pending.erase(asked);
                 if (decision.m_is_granted)
                 {
                     admit();
@@ -218,7 +219,7 @@
     std::set<endpoint> m_stopped;
     std::deque<flying> m_flying;
     std::deque<time_point> m_admitted;
-    std::set<quota_ticket> m_pending;
+    std::map<quota_ticket, time_point> m_pending;
     quota_ticket m_last_ticket{0};
     std::size_t m_admitted_in_all{0};
     std::size_t m_refused{0};
