Read the store at one node a data centre; pass news on between peers

Change: publication_log holds the published items with a history of changes; publication_follower decides who reads (the first node of a data centre in the order of hashes), whom the others ask, and when a node reads by itself or asks a peer because it can't reach the store. Proofs travel with their age. The adapter decodes items on each node; peers pass them on unread. If the newest declarations can't be read, nothing is proved any more.

--- a/packages/fleet/include/teasellead/fleet/messages.hpp
+++ b/packages/fleet/include/teasellead/fleet/messages.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -200,6 +201,7 @@
     node_incarnation m_incarnation{0}; ///< grows with each start of a node at the address
     std::uint64_t m_sequence{0};       ///< grows with each heartbeat of one incarnation
     bool m_leaving{false};
+    std::string m_data_centre;
 
     friend bool operator==(const node_record&, const node_record&) = default;
 };
@@ -225,6 +227,38 @@
     friend bool operator==(const token_grant&, const token_grant&) = default;
 };
 
+/// an item that a deployment publishes, or the removal of one; only the deployment's adapter reads the value
+struct published_item
+{
+    std::string m_key;
+    std::optional<std::string> m_value; ///< nothing if the item was removed
+    std::uint64_t m_revision{0};        ///< grows with each change of any item
+
+    friend bool operator==(const published_item&, const published_item&) = default;
+};
+
+/// asks for what was published after a revision
+struct publication_request
+{
+    std::uint64_t m_call{0}; ///< number that the answer repeats
+    std::uint64_t m_have{0}; ///< revision up to which the sender knows everything
+
+    friend bool operator==(const publication_request&, const publication_request&) = default;
+};
+
+/// what was published after a revision
+struct publication_reply
+{
+    std::uint64_t m_call{0};
+    std::uint64_t m_as_of{0}; ///< revision up to which the sender knows everything; 0 if it knows nothing
+    bool m_is_full{false};    ///< whether the items are all there are
+    std::vector<published_item> m_items;
+    std::optional<std::chrono::milliseconds> m_proof_age; ///< how long ago they were known to be the newest
+    std::chrono::milliseconds m_lapse_left{0}; ///< how long entries that are missing may have lapsed only
+
+    friend bool operator==(const publication_reply&, const publication_reply&) = default;
+};
+
 /// records of nodes that the sender has heard of lately, its own among them
 struct roster_notice
 {
@@ -238,7 +272,8 @@
 using peer_content =
     std::variant<hello, revision_request, revision_reply, share_request, share_grant, spare_shares,
                  evidence_notice, cold_permit_request, cold_permit_grant, quarantine_notice, forward_request,
-                 forward_reply, share_return, roster_notice, token_request, token_grant>;
+                 forward_reply, share_return, roster_notice, token_request, token_grant, publication_request,
+                 publication_reply>;
 
 /// a message between nodes with its sender
 struct peer_message
--- /dev/null
+++ b/packages/fleet/include/teasellead/fleet/publication_log.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "teasellead/fleet/messages.hpp"
+
+namespace teasellead
+{
+
+/// what a node must learn to know all that another one knows
+struct publication_delta
+{
+    std::vector<published_item> m_items;
+    std::uint64_t m_as_of{0};
+    bool m_is_full{false}; ///< whether the items are all there are
+
+    friend bool operator==(const publication_delta&, const publication_delta&) = default;
+};
+
+/*!
+@brief the items that a deployment publishes, as far as this node knows them, and their latest changes
+
+Not safe for use by several threads.
+*/
+class publication_log
+{
+  public:
+    /*!
+    @brief takes all items that are published
+
+    @param[in] items  the items
+    @param[in] as_of  revision since which all changes will be heard
+
+    @return what is new, removals among it; empty if the listing is older than what is known
+    */
+    std::vector<published_item> on_listing(const std::vector<published_item>& items, std::uint64_t as_of);
+
+    /*!
+    @brief takes changes in the order of their revisions
+
+    @param[in] items  changed and removed items
+    @param[in] as_of  revision up to which nothing is missing
+
+    @return what is new
+    */
+    std::vector<published_item> on_changes(const std::vector<published_item>& items, std::uint64_t as_of);
+
+    /// revision up to which this node knows everything; 0 before the first listing
+    [[nodiscard]] std::uint64_t as_of() const noexcept
+    {
+        return m_as_of;
+    }
+
+    /// number of items
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_items.size();
+    }
+
+    /*!
+    @brief what has changed since a revision
+
+    @param[in] have  revision up to which the asker knows everything
+
+    @complexity linear in the number of changes, or of items if the history doesn't reach back so far
+    */
+    [[nodiscard]] publication_delta since(std::uint64_t have) const;
+
+  private:
+    struct change
+    {
+        std::uint64_t m_revision{0};
+        std::string m_key;
+    };
+
+    bool apply(const published_item& item);
+
+    std::unordered_map<std::string, published_item> m_items;
+    std::unordered_map<std::string, std::uint64_t> m_removed; ///< revisions of removals in the history
+    std::deque<change> m_history;
+    std::uint64_t m_history_from{0}; ///< changes after this revision are in the history
+    std::uint64_t m_as_of{0};
+};
+
+} // namespace teasellead
--- a/packages/fleet/include/teasellead/fleet/roster.hpp
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "teasellead/fleet/messages.hpp"
@@ -43,13 +44,14 @@
     @brief creates the view of a node that has just started
 
     @param[in] self         address of this node
+    @param[in] data_centre  its data centre
     @param[in] incarnation  greater than that of an earlier process at the address
     @param[in] seeds        addresses to begin with; some may be stale
     @param[in] settings     periods
     @param[in] now          current time
     */
-    roster(endpoint self, node_incarnation incarnation, std::vector<endpoint> seeds, roster_settings settings,
-           time_point now);
+    roster(endpoint self, std::string data_centre, node_incarnation incarnation, std::vector<endpoint> seeds,
+           roster_settings settings, time_point now);
 
     /*!
     @brief takes a notice
@@ -97,6 +99,9 @@
     /// addresses of the counted nodes, without this one
     [[nodiscard]] std::vector<endpoint> peers(time_point now) const;
 
+    /// those of @ref peers that are in this node's data centre, or those that aren't
+    [[nodiscard]] std::vector<endpoint> peers(bool is_local, time_point now) const;
+
   private:
     struct known_node
     {
--- a/packages/fleet/src/codec.cpp
+++ b/packages/fleet/src/codec.cpp
@@ -195,6 +195,7 @@
         added.set_incarnation(record.m_incarnation);
         added.set_sequence(record.m_sequence);
         added.set_leaving(record.m_leaving);
+        added.set_data_centre(record.m_data_centre);
     }
 }
 
@@ -215,6 +216,31 @@
     target.set_retry_after_ms(to_wire(content.m_retry_after));
 }
 
+void put(wire::PeerMessage& wire, const publication_request& content)
+{
+    wire.mutable_publication_request()->set_call(content.m_call);
+    wire.mutable_publication_request()->set_have(content.m_have);
+}
+
+void put(wire::PeerMessage& wire, const publication_reply& content)
+{
+    wire::PublicationReply& target = *wire.mutable_publication_reply();
+    target.set_call(content.m_call);
+    target.set_as_of(content.m_as_of);
+    target.set_full(content.m_is_full);
+    target.set_proved(content.m_proof_age.has_value());
+    target.set_proof_age_ms(to_wire(content.m_proof_age.value_or(std::chrono::milliseconds{0})));
+    target.set_lapse_left_ms(to_wire(content.m_lapse_left));
+    for (const published_item& item : content.m_items)
+    {
+        wire::PublishedItem& added = *target.add_items();
+        added.set_key(item.m_key);
+        added.set_value(item.m_value.value_or(std::string{}));
+        added.set_removed(!item.m_value);
+        added.set_revision(item.m_revision);
+    }
+}
+
 hello take(const wire::Hello& source)
 {
     return hello{source.sequence(),
@@ -318,8 +344,27 @@
     result.m_wants_reply = source.wants_reply();
     for (const wire::NodeRecord& record : source.records())
     {
-        result.m_records.push_back(
-            {unpack(record.address()), record.incarnation(), record.sequence(), record.leaving()});
+        result.m_records.push_back({unpack(record.address()), record.incarnation(), record.sequence(),
+                                    record.leaving(), record.data_centre()});
+    }
+    return result;
+}
+
+publication_reply take(const wire::PublicationReply& source)
+{
+    publication_reply result;
+    result.m_call = source.call();
+    result.m_as_of = source.as_of();
+    result.m_is_full = source.full();
+    result.m_lapse_left = std::chrono::milliseconds{source.lapse_left_ms()};
+    if (source.proved())
+    {
+        result.m_proof_age = std::chrono::milliseconds{source.proof_age_ms()};
+    }
+    for (const wire::PublishedItem& item : source.items())
+    {
+        const auto value = item.removed() ? std::nullopt : std::optional<std::string>{item.value()};
+        result.m_items.push_back({item.key(), value, item.revision()});
     }
     return result;
 }
@@ -364,6 +409,10 @@
         return token_grant{wire.token_grant().call(), wire.token_grant().client_account(),
                            wire.token_grant().tokens(),
                            std::chrono::milliseconds{wire.token_grant().retry_after_ms()}};
+    case wire::PeerMessage::kPublicationRequest:
+        return publication_request{wire.publication_request().call(), wire.publication_request().have()};
+    case wire::PeerMessage::kPublicationReply:
+        return take(wire.publication_reply());
     case wire::PeerMessage::CONTENT_NOT_SET:
         break;
     }
--- /dev/null
+++ b/packages/fleet/src/publication_follower.cpp
@@ -0,0 +1,156 @@
+#include "teasellead/fleet/publication_follower.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include "teasellead/kernel/hashing.hpp"
+
+namespace teasellead
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// any key that all nodes share
+constexpr std::uint64_t order_key = 1;
+constexpr std::size_t failures_before_another = 2;
+
+std::uint64_t score_of(const endpoint& node)
+{
+    return rendezvous_score(order_key, std::hash<endpoint>{}(node));
+}
+
+} // namespace
+
+void publication_follower::on_members(std::vector<endpoint> local, std::vector<endpoint> others)
+{
+    m_local = std::move(local);
+    m_others = std::move(others);
+    std::sort(m_local.begin(), m_local.end(),
+              [](const endpoint& lhs, const endpoint& rhs) { return score_of(lhs) > score_of(rhs); });
+}
+
+void publication_follower::on_source(bool is_reachable, time_point now)
+{
+    if (m_source_is_reachable && !is_reachable)
+    {
+        m_next_question = now;
+    }
+    m_source_is_reachable = is_reachable;
+}
+
+void publication_follower::on_proof(time_point proved_at)
+{
+    m_proved_at = std::max(m_proved_at, proved_at);
+}
+
+bool publication_follower::is_designated() const
+{
+    return m_local.empty() || score_of(m_self) > score_of(m_local.front());
+}
+
+bool publication_follower::reads_source(time_point now) const
+{
+    return is_designated() || now < m_alone_until;
+}
+
+std::optional<endpoint> publication_follower::choose_peer(time_point now)
+{
+    if (!reads_source(now))
+    {
+        const std::size_t rank = m_failures >= failures_before_another ? 1 : 0;
+        return m_local[std::min(rank, m_local.size() - 1)];
+    }
+    if (m_source_is_reachable)
+    {
+        return std::nullopt;
+    }
+    const std::size_t peers = m_local.size() + m_others.size();
+    if (peers == 0)
+    {
+        return std::nullopt;
+    }
+    const std::size_t chosen = m_random.below(peers);
+    return chosen < m_local.size() ? m_local[chosen] : m_others[chosen - m_local.size()];
+}
+
+std::vector<outgoing_message> publication_follower::on_tick(std::uint64_t have, time_point now)
+{
+    if (m_is_waiting && now - m_called_at >= m_settings.m_answer_time)
+    {
+        m_is_waiting = false;
+        ++m_failures;
+        m_next_question = now;
+    }
+    const bool is_stale = now - m_proved_at > m_settings.m_usable_proof_age;
+    if (is_stale && !reads_source(now))
+    {
+        // spread over the period, so that a silent reader isn't replaced by all others at once for long
+        m_alone_until = now + m_settings.m_alone_time +
+                        m_random.below(4) * std::chrono::duration_cast<duration>(milliseconds{500});
+    }
+    if (m_is_waiting || now < m_next_question)
+    {
+        return {};
+    }
+    const std::optional<endpoint> peer = choose_peer(now);
+    if (!peer)
+    {
+        return {};
+    }
+    ++m_call;
+    m_called = *peer;
+    m_called_at = now;
+    m_is_waiting = true;
+    m_next_question = now + m_settings.m_poll_period;
+    return {{*peer, publication_request{m_call, have}}};
+}
+
+outgoing_message publication_follower::answer(const endpoint& sender, const publication_request& request,
+                                              const publication_log& known, duration lapse_left,
+                                              time_point now) const
+{
+    publication_delta delta = known.since(request.m_have);
+    publication_reply reply;
+    reply.m_call = request.m_call;
+    reply.m_as_of = delta.m_as_of;
+    reply.m_is_full = delta.m_is_full;
+    reply.m_items = std::move(delta.m_items);
+    if (m_proved_at != time_point{})
+    {
+        reply.m_proof_age = std::chrono::ceil<milliseconds>(now - m_proved_at);
+    }
+    reply.m_lapse_left = std::chrono::ceil<milliseconds>(lapse_left);
+    return {sender, std::move(reply)};
+}
+
+std::optional<passed_news>
+publication_follower::on_reply(const endpoint& sender, const publication_reply& reply, publication_log& known)
+{
+    if (!m_is_waiting || reply.m_call != m_call || sender != m_called)
+    {
+        return std::nullopt;
+    }
+    m_is_waiting = false;
+    m_failures = 0;
+    passed_news news;
+    news.m_lapse_left = reply.m_lapse_left;
+    if (reply.m_as_of > 0)
+    {
+        news.m_items = reply.m_is_full ? known.on_listing(reply.m_items, reply.m_as_of)
+                                       : known.on_changes(reply.m_items, reply.m_as_of);
+    }
+    const bool is_complete = known.as_of() >= reply.m_as_of && reply.m_as_of > 0;
+    if (reply.m_proof_age && is_complete)
+    {
+        // the peer's age counts from this node's question: how long the answer travelled isn't known
+        const time_point proved_at = m_called_at - *reply.m_proof_age;
+        on_proof(proved_at);
+        news.m_proved_at = proved_at;
+    }
+    return news;
+}
+
+} // namespace teasellead
--- /dev/null
+++ b/packages/fleet/src/publication_log.cpp
@@ -0,0 +1,151 @@
+#include "teasellead/fleet/publication_log.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace teasellead
+{
+
+namespace
+{
+
+constexpr std::size_t max_history = 1024;
+
+} // namespace
+
+bool publication_log::apply(const published_item& item)
+{
+    const auto known = m_items.find(item.m_key);
+    const auto removed = m_removed.find(item.m_key);
+    const bool is_known = (known != m_items.end() && known->second.m_revision >= item.m_revision) ||
+                          (removed != m_removed.end() && removed->second >= item.m_revision);
+    if (is_known)
+    {
+        return false;
+    }
+    if (item.m_value)
+    {
+        m_items.insert_or_assign(item.m_key, item);
+        m_removed.erase(item.m_key);
+    }
+    else
+    {
+        if (known != m_items.end())
+        {
+            m_items.erase(known);
+        }
+        m_removed[item.m_key] = item.m_revision;
+    }
+    m_history.push_back({item.m_revision, item.m_key});
+    while (m_history.size() > max_history)
+    {
+        const change& oldest = m_history.front();
+        m_history_from = std::max(m_history_from, oldest.m_revision);
+        const auto forgotten = m_removed.find(oldest.m_key);
+        if (forgotten != m_removed.end() && forgotten->second <= oldest.m_revision)
+        {
+            m_removed.erase(forgotten);
+        }
+        m_history.pop_front();
+    }
+    return true;
+}
+
+std::vector<published_item> publication_log::on_listing(const std::vector<published_item>& items,
+                                                        std::uint64_t as_of)
+{
+    std::vector<published_item> news;
+    if (as_of < m_as_of)
+    {
+        return news;
+    }
+    std::set<std::string> listed;
+    for (const published_item& item : items)
+    {
+        listed.insert(item.m_key);
+        if (apply(item))
+        {
+            news.push_back(item);
+        }
+    }
+    std::vector<std::string> missing;
+    for (const auto& [key, item] : m_items)
+    {
+        if (listed.count(key) == 0 && item.m_revision <= as_of)
+        {
+            missing.push_back(key);
+        }
+    }
+    for (const std::string& key : missing)
+    {
+        // the revision of the removal isn't known; it lies at or before the listing's
+        const published_item removal{key, std::nullopt, as_of};
+        m_items.erase(key);
+        m_removed[key] = as_of;
+        m_history.push_back({as_of, key});
+        news.push_back(removal);
+    }
+    // changes that came and went before the listing aren't in the history
+    m_history_from = std::max(m_history_from, as_of);
+    m_as_of = as_of;
+    return news;
+}
+
+std::vector<published_item> publication_log::on_changes(const std::vector<published_item>& items,
+                                                        std::uint64_t as_of)
+{
+    std::vector<published_item> news;
+    for (const published_item& item : items)
+    {
+        if (apply(item))
+        {
+            news.push_back(item);
+        }
+    }
+    m_as_of = std::max(m_as_of, as_of);
+    return news;
+}
+
+publication_delta publication_log::since(std::uint64_t have) const
+{
+    publication_delta delta;
+    delta.m_as_of = m_as_of;
+    if (have >= m_as_of)
+    {
+        return delta;
+    }
+    delta.m_is_full = have < m_history_from;
+    if (delta.m_is_full)
+    {
+        for (const auto& [key, item] : m_items)
+        {
+            delta.m_items.push_back(item);
+        }
+        return delta;
+    }
+    std::set<std::string> changed;
+    for (const change& each : m_history)
+    {
+        if (each.m_revision > have)
+        {
+            changed.insert(each.m_key);
+        }
+    }
+    for (const std::string& key : changed)
+    {
+        const auto known = m_items.find(key);
+        if (known != m_items.end())
+        {
+            delta.m_items.push_back(known->second);
+            continue;
+        }
+        const auto removed = m_removed.find(key);
+        delta.m_items.push_back({key, std::nullopt, removed == m_removed.end() ? m_as_of : removed->second});
+    }
+    std::sort(delta.m_items.begin(), delta.m_items.end(),
+              [](const published_item& lhs, const published_item& rhs)
+              { return lhs.m_revision < rhs.m_revision; });
+    return delta;
+}
+
+} // namespace teasellead
--- a/packages/fleet/src/roster.cpp
+++ b/packages/fleet/src/roster.cpp
@@ -14,10 +14,10 @@
 
 } // namespace
 
-roster::roster(endpoint self, node_incarnation incarnation, std::vector<endpoint> seeds,
-               roster_settings settings, time_point now)
-    : m_self(self), m_own{self, incarnation, 0, false}, m_seeds(std::move(seeds)), m_settings(settings),
-      m_started_at(now), m_next_gossip(now), m_counted_silence(settings.m_silence),
+roster::roster(endpoint self, std::string data_centre, node_incarnation incarnation,
+               std::vector<endpoint> seeds, roster_settings settings, time_point now)
+    : m_self(self), m_own{self, incarnation, 0, false, std::move(data_centre)}, m_seeds(std::move(seeds)),
+      m_settings(settings), m_started_at(now), m_next_gossip(now), m_counted_silence(settings.m_silence),
       m_reply_random(incarnation)
 {
     std::erase(m_seeds, m_self);
@@ -186,4 +186,18 @@
     return result;
 }
 
+std::vector<endpoint> roster::peers(bool is_local, time_point now) const
+{
+    std::vector<endpoint> result;
+    for (const auto& [address, node] : m_nodes)
+    {
+        const bool is_same = node.m_record.m_data_centre == m_own.m_data_centre;
+        if (is_counted(node, now) && !node.m_record.m_leaving && is_same == is_local)
+        {
+            result.push_back(address);
+        }
+    }
+    return result;
+}
+
 } // namespace teasellead
--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -51,15 +51,12 @@
     void on_change(const directory_item& item, time_point now);
 
     /*!
-    @brief takes the whole directory
+    @brief takes the removal of an entry
 
-    @param[in] items        all entries
-    @param[in] keep_lapsed  whether entries that are missing may have lapsed during an outage
-    @param[in] now          current time
+    @param[in] instance     the entry
+    @param[in] keep_lapsed  whether it may have lapsed in an outage only; it is kept until @ref drop_lapsed
+    then
     */
-    void on_listing(const std::vector<directory_item>& items, bool keep_lapsed, time_point now);
-
-    /// entries that are missing from now on may have lapsed; they are kept until @ref drop_lapsed
     void on_removed(const std::string& instance, bool keep_lapsed);
 
     /// removes the entries that lapsed and didn't come back
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -110,29 +110,6 @@
     erase(instance);
 }
 
-void upstream_directory::on_listing(const std::vector<directory_item>& items, bool keep_lapsed,
-                                    time_point now)
-{
-    std::set<std::string> listed;
-    for (const directory_item& item : items)
-    {
-        listed.insert(item.m_instance);
-        on_change(item, now);
-    }
-    std::vector<std::string> missing;
-    for (const auto& [instance, known] : m_by_instance)
-    {
-        if (listed.count(instance) == 0)
-        {
-            missing.push_back(instance);
-        }
-    }
-    for (const std::string& instance : missing)
-    {
-        on_removed(instance, keep_lapsed);
-    }
-}
-
 void upstream_directory::drop_lapsed()
 {
     const std::set<std::string> lapsed = std::move(m_lapsed);
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -2,12 +2,12 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
+#include "teasellead/fleet/messages.hpp"
 #include "teasellead/fleet/quota_ledger.hpp"
-#include "teasellead/fleet/roster.hpp"
 #include "teasellead/forwarding/attempt_budget.hpp"
 #include "teasellead/forwarding/route.hpp"
 #include "teasellead/forwarding/upstream_directory.hpp"
@@ -39,51 +39,86 @@
     friend bool operator==(const forwarding_settings&, const forwarding_settings&) = default;
 };
 
-/// takes what a deployment publishes
-class deployment_observer
+/// an upstream's entry is new or has changed
+struct upstream_published
 {
-  public:
-    deployment_observer() = default;
-    deployment_observer(const deployment_observer&) = delete;
-    deployment_observer& operator=(const deployment_observer&) = delete;
-    virtual ~deployment_observer() = default;
+    forwarding::directory_item m_item;
 
-    /// a revision of the declarations; older ones than the one in force are ignored
-    virtual void on_declarations(forwarding::declarations next) = 0;
+    friend bool operator==(const upstream_published&, const upstream_published&) = default;
+};
 
-    /// the whole directory of upstreams; see @ref forwarding::upstream_directory::on_listing
-    virtual void on_directory(std::vector<forwarding::directory_item> items, bool keep_lapsed) = 0;
+/// an upstream's entry was removed
+struct upstream_withdrawn
+{
+    std::string m_instance;
 
-    /// a new or changed entry
-    virtual void on_upstream(const forwarding::directory_item& item) = 0;
+    friend bool operator==(const upstream_withdrawn&, const upstream_withdrawn&) = default;
+};
 
-    /// an entry was removed
-    virtual void on_upstream_removed(const std::string& instance, bool keep_lapsed) = 0;
+/// the upstreams of a data centre receive nothing new, or do again
+struct data_centre_evacuated
+{
+    std::string m_data_centre;
+    bool m_is_evacuated{false};
 
-    /// entries that lapsed during an outage and haven't come back are gone
-    virtual void on_lapsed_gone() = 0;
+    friend bool operator==(const data_centre_evacuated&, const data_centre_evacuated&) = default;
+};
 
-    /// the data centres whose upstreams receive nothing new
-    virtual void on_evacuated(std::set<std::string> data_centres) = 0;
+/// the item says nothing to the system
+struct nothing_published
+{
+    friend bool operator==(const nothing_published&, const nothing_published&) = default;
+};
 
-    /// the declarations in force were the newest ones after a time
-    virtual void on_proof(time_point asked_at) = 0;
+/// what a published item means
+using publication = std::variant<nothing_published, forwarding::declarations, upstream_published,
+                                 upstream_withdrawn, data_centre_evacuated>;
+
+/// takes what a source reads
+class publication_sink
+{
+  public:
+    publication_sink() = default;
+    publication_sink(const publication_sink&) = delete;
+    publication_sink& operator=(const publication_sink&) = delete;
+    virtual ~publication_sink() = default;
+
+    /*!
+    @brief takes all items that are published
+
+    @param[in] items     the items
+    @param[in] as_of     revision since which all changes will be heard
+    @param[in] asked_at  when the question that it answers was sent
+    */
+    virtual void on_listing(const std::vector<published_item>& items, std::uint64_t as_of,
+                            time_point asked_at) = 0;
+
+    /// takes the changes since the last call, maybe none; see @ref on_listing
+    virtual void on_changes(const std::vector<published_item>& items, std::uint64_t as_of,
+                            time_point asked_at) = 0;
 
     /// the source was lost or regained
     virtual void on_source(bool is_reachable, const std::string& reason) = 0;
 };
 
-/// where a node learns the declarations and the upstreams
-class deployment_source
+/// where the deployment publishes its items
+class publication_source
 {
   public:
-    deployment_source() = default;
-    deployment_source(const deployment_source&) = delete;
-    deployment_source& operator=(const deployment_source&) = delete;
-    virtual ~deployment_source() = default;
+    publication_source() = default;
+    publication_source(const publication_source&) = delete;
+    publication_source& operator=(const publication_source&) = delete;
+    virtual ~publication_source() = default;
 
-    /// begins to read; the observer must outlive the source
-    virtual void start(deployment_observer& observer) = 0;
+    /*!
+    @brief begins to read, unless it does
+
+    @param[in] known_to  revision up to which everything is known; 0 for nothing
+    */
+    virtual void start(std::uint64_t known_to) = 0;
+
+    /// stops reading
+    virtual void stop() = 0;
 
     /// calls made so far
     [[nodiscard]] virtual std::uint64_t calls() const noexcept = 0;
@@ -101,9 +136,16 @@
     [[nodiscard]] virtual const forwarding_settings& settings() const = 0;
     [[nodiscard]] virtual const wire_protocol& protocol() const = 0;
 
-    /// makes the source of declarations and upstreams
-    [[nodiscard]] virtual std::unique_ptr<deployment_source>
-    make_source(asio::io_context& loop, const monotonic_clock& clock) const = 0;
+    /*!
+    @brief reads what an item means
+
+    @throw protocol_error if it can't be read and concerns all requests
+    */
+    [[nodiscard]] virtual publication decode(const published_item& item) const = 0;
+
+    /// makes the source of the items; the sink must outlive it
+    [[nodiscard]] virtual std::unique_ptr<publication_source>
+    make_source(asio::io_context& loop, const monotonic_clock& clock, publication_sink& sink) const = 0;
 };
 
 /*!
--- a/packages/runtime/include/teasellead/runtime/peer_gossip.hpp
+++ b/packages/runtime/include/teasellead/runtime/peer_gossip.hpp
@@ -5,7 +5,6 @@
 #include <memory>
 
 #include "teasellead/fleet/peer_link.hpp"
-#include "teasellead/fleet/quota_ledger.hpp"
 #include "teasellead/fleet/roster.hpp"
 #include "teasellead/runtime/asio.hpp"
 
@@ -13,7 +12,7 @@
 {
 
 /*!
-@brief carries the messages of the roster and the ledger of limits over the peer link
+@brief carries the messages between nodes over the peer link
 
 All functions must be called by the thread that runs the loop.
 */
@@ -27,11 +26,12 @@
     @param[in] clock    time
     @param[in] link     link to the peers
     @param[in] members  the roster; must outlive the object
-    @param[in] quotas   the ledger; must outlive the object
+    @param[in] take     takes the messages that don't concern the roster
     @param[in] received called after messages were taken
     */
     peer_gossip(asio::io_context& loop, const monotonic_clock& clock, std::unique_ptr<peer_link> link,
-                roster& members, quota_ledger& quotas, std::function<void()> received);
+                roster& members, std::function<void(const peer_message&)> take,
+                std::function<void()> received);
     ~peer_gossip();
     peer_gossip(const peer_gossip&) = delete;
     peer_gossip& operator=(const peer_gossip&) = delete;
@@ -47,12 +47,11 @@
 
   private:
     void wait();
-    void take(const peer_message& message);
 
     const monotonic_clock& m_clock;
     std::unique_ptr<peer_link> m_link;
     roster& m_members;
-    quota_ledger& m_quotas;
+    std::function<void(const peer_message&)> m_take;
     std::function<void()> m_received;
     asio::posix::stream_descriptor m_readable;
 };
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <optional>
 
+#include "publication_agent.hpp"
 #include "request_intake.hpp"
 #include "teasellead/fleet/quota_ledger.hpp"
 #include "teasellead/forwarding/freshness.hpp"
@@ -47,7 +48,7 @@
 
 } // namespace
 
-class forwarding_node::implementation final : public deployment_observer
+class forwarding_node::implementation
 {
   public:
     implementation(const deployment& platform, decision_log& log)
@@ -56,15 +57,16 @@
           m_ticker(m_loop), m_stop_timer(m_loop), m_budget(m_settings.m_attempt_budget),
           m_freshness(m_settings.m_key_freshness), m_directory(m_settings.m_data_centre),
           m_quotas(m_settings.m_peers, m_settings.m_account_bound),
-          m_members(m_settings.m_peers, new_incarnation(), m_settings.m_seeds, roster_settings{},
-                    m_clock.now()),
-          m_gossip(m_loop, m_clock, make_zmq_peer_link(m_settings.m_peers, new_incarnation(), fleet_key{}),
-                   m_members, m_quotas,
-                   [this]
-                   {
-                       send_quota_messages();
-                       m_intake.on_decisions();
-                   }),
+          m_members(m_settings.m_peers, m_settings.m_data_centre, new_incarnation(), m_settings.m_seeds,
+                    roster_settings{}, m_clock.now()),
+          m_gossip(
+              m_loop, m_clock, make_zmq_peer_link(m_settings.m_peers, new_incarnation(), fleet_key{}),
+              m_members, [this](const peer_message& message) { take(message); },
+              [this]
+              {
+                  send_quota_messages();
+                  m_intake.on_decisions();
+              }),
           m_pool(m_loop, m_clock, connect_timeout), m_dispatching{m_directory, m_budget, m_random,
                                                                   [this](const forwarding::upstream& target)
                                                                   {
@@ -73,6 +75,8 @@
                                                                   }},
           m_environment{m_loop, m_clock, m_protocol, m_dispatching, m_freshness, m_pool, m_log},
           m_intake(m_environment, m_quotas, [this] { send_quota_messages(); }),
+          m_publications(platform, m_loop, m_clock, m_settings.m_peers, m_freshness, m_directory, m_log,
+                         [this](forwarding::declarations next) { on_declarations(std::move(next)); }),
           m_callers(m_loop, m_settings.m_callers,
                     [this](http_request request, respond_function respond)
                     { return m_intake.take(std::move(request), std::move(respond)); }),
@@ -81,8 +85,7 @@
                       {
                           respond({is_ready() ? ok : service_unavailable, {}, {}});
                           return gone_function{};
-                      }),
-          m_source(platform.make_source(m_loop, m_clock))
+                      })
     {
         if (m_settings.m_metrics.port() != 0)
         {
@@ -100,7 +103,6 @@
                            {"callers", m_settings.m_callers.to_string()},
                            {"peers", m_settings.m_peers.to_string()}});
         wait_for_signal();
-        m_source->start(*this);
         tick();
     }
 
@@ -110,13 +112,13 @@
         return m_unfinished == 0;
     }
 
-    void on_declarations(forwarding::declarations next) override
+  private:
+    void on_declarations(forwarding::declarations next)
     {
         if (m_table && next.m_version <= m_table->version())
         {
             return;
         }
-        const time_point now = m_clock.now();
         m_decisions.write(log_level::info, "configuration",
                           {{"version", next.m_version},
                            {"previous", m_table ? m_table->version() : std::uint64_t{0}},
@@ -125,85 +127,31 @@
         m_table = std::make_shared<const forwarding::route_table>(std::move(next));
         m_callers.set_limits(m_table->content().m_limits);
         m_intake.set_table(m_table);
-        m_quotas.on_declarations(m_table->content().m_accounts, now);
+        m_quotas.on_declarations(m_table->content().m_accounts, m_clock.now());
         m_intake.on_decisions();
-        update_shares();
-    }
-
-    void on_directory(std::vector<forwarding::directory_item> items, bool keep_lapsed) override
-    {
-        m_directory.on_listing(items, keep_lapsed, m_clock.now());
-        m_has_directory = true;
-        m_decisions.write(
-            log_level::info, "directory",
-            {{"entries", std::uint64_t{items.size()}}, {"keeps_lapsed", keep_lapsed ? "yes" : "no"}});
-        m_pool.close_unused();
-    }
-
-    void on_upstream(const forwarding::directory_item& item) override
-    {
-        m_directory.on_change(item, m_clock.now());
-        const std::string state =
-            !item.m_entry ? "unusable" : (item.m_entry->m_is_draining ? "draining" : "ready");
-        m_log.write(log_level::info, "upstream",
-                    {{"instance", item.m_instance},
-                     {"service", item.m_entry ? item.m_entry->m_service : std::string{}},
-                     {"state", state}});
-        m_pool.close_unused();
-    }
-
-    void on_upstream_removed(const std::string& instance, bool keep_lapsed) override
-    {
-        m_directory.on_removed(instance, keep_lapsed);
-        m_log.write(log_level::info, "upstream",
-                    {{"instance", instance}, {"state", keep_lapsed ? "lapsed" : "removed"}});
-        m_pool.close_unused();
-    }
-
-    void on_lapsed_gone() override
-    {
-        m_directory.drop_lapsed();
-        m_pool.close_unused();
-    }
-
-    void on_evacuated(std::set<std::string> data_centres) override
-    {
-        if (data_centres == m_directory.evacuated())
-        {
-            return;
-        }
-        std::string names;
-        for (const std::string& name : data_centres)
-        {
-            names += (names.empty() ? "" : ",") + name;
-        }
-        m_decisions.write(log_level::info, "evacuated", {{"data_centres", names}});
-        m_directory.set_evacuated(std::move(data_centres));
     }
 
-    void on_proof(time_point asked_at) override
+    void take(const peer_message& message)
     {
+        const endpoint& sender = message.m_sender;
         const time_point now = m_clock.now();
-        const bool held = m_freshness.holds(now);
-        m_freshness.on_proof(asked_at);
-        if (!held && m_freshness.holds(now))
-        {
-            m_decisions.write(log_level::info, "configuration_fresh",
-                              {{"age_ms", milliseconds_of(m_freshness.age(now))}});
-        }
-        m_was_fresh = m_freshness.holds(now);
-    }
-
-    void on_source(bool is_reachable, const std::string& reason) override
-    {
-        m_decisions.write(is_reachable ? log_level::info : log_level::warning,
-                          is_reachable ? "source_regained" : "source_lost", {{"reason", reason}});
+        std::visit(
+            overloaded{[&](const token_request& content) { m_quotas.on_message(sender, content, now); },
+                       [&](const token_grant& content) { m_quotas.on_message(sender, content, now); },
+                       [&](const publication_request& content)
+                       { m_gossip.send({m_publications.answer(sender, content)}); },
+                       [&](const publication_reply& content) { m_publications.on_reply(sender, content); },
+                       [](const auto&)
+                       {
+                           // messages of other kinds of nodes say nothing to this one
+                       }},
+            message.m_content);
     }
 
-  private:
     [[nodiscard]] bool is_ready() const
     {
-        return !m_is_stopping && m_table && m_has_directory && m_members.has_joined(m_clock.now());
+        return !m_is_stopping && m_table && m_publications.is_complete() &&
+               m_members.has_joined(m_clock.now());
     }
 
     [[nodiscard]] std::size_t connection_limit(const forwarding::upstream& target)
@@ -240,21 +188,31 @@
         }
     }
 
+    void log_freshness(time_point now)
+    {
+        const bool is_fresh = m_freshness.holds(now);
+        if (is_fresh != m_was_fresh)
+        {
+            m_was_fresh = is_fresh;
+            m_decisions.write(is_fresh ? log_level::info : log_level::warning,
+                              is_fresh ? "configuration_fresh" : "configuration_too_old",
+                              {{"age_ms", milliseconds_of(m_freshness.age(now))}});
+        }
+    }
+
     void tick()
     {
         const time_point now = m_clock.now();
         m_gossip.receive();
         m_gossip.send(m_members.on_tick(m_is_stopping, m_random, now));
+        m_publications.on_members(m_members.peers(true, now), m_members.peers(false, now));
+        m_gossip.send(m_publications.on_tick());
         m_gossip.retain();
+        m_pool.close_unused();
         m_quotas.on_tick(now);
         send_quota_messages();
         update_shares();
-        if (m_was_fresh && !m_freshness.holds(now))
-        {
-            m_was_fresh = false;
-            m_decisions.write(log_level::warning, "configuration_too_old",
-                              {{"age_ms", milliseconds_of(m_freshness.age(now))}});
-        }
+        log_freshness(now);
         m_ticker.expires_after(tick_period);
         m_ticker.async_wait(
             [this](const boost::system::error_code& error)
@@ -343,7 +301,7 @@
         add("teasellead_counted_nodes", "gauge", m_members.counted_nodes(now));
         add("teasellead_upstreams", "gauge", m_directory.size());
         add("teasellead_upstream_connections_opened_total", "counter", m_pool.opened());
-        add("teasellead_source_calls_total", "counter", m_source->calls());
+        add("teasellead_source_calls_total", "counter", m_publications.calls());
         add("teasellead_requests_in_flight", "gauge", m_callers.in_flight());
         return text;
     }
@@ -370,11 +328,10 @@
     forwarding::dispatch_context m_dispatching;
     request_environment m_environment;
     request_intake m_intake;
+    publication_agent m_publications;
     caller_server m_callers;
     caller_server m_readiness;
     std::optional<caller_server> m_metrics;
-    std::unique_ptr<deployment_source> m_source;
-    bool m_has_directory{false};
     bool m_was_fresh{false};
     bool m_is_stopping{false};
     time_point m_stop_began{};
--- a/packages/runtime/src/peer_gossip.cpp
+++ b/packages/runtime/src/peer_gossip.cpp
@@ -2,15 +2,13 @@
 
 #include <chrono>
 
-#include "teasellead/kernel/overloaded.hpp"
-
 namespace teasellead::runtime
 {
 
 peer_gossip::peer_gossip(asio::io_context& loop, const monotonic_clock& clock,
-                         std::unique_ptr<peer_link> link, roster& members, quota_ledger& quotas,
-                         std::function<void()> received)
-    : m_clock(clock), m_link(std::move(link)), m_members(members), m_quotas(quotas),
+                         std::unique_ptr<peer_link> link, roster& members,
+                         std::function<void(const peer_message&)> take, std::function<void()> received)
+    : m_clock(clock), m_link(std::move(link)), m_members(members), m_take(std::move(take)),
       m_received(std::move(received)), m_readable(loop, m_link->descriptor())
 {
     wait();
@@ -40,7 +38,14 @@
     const auto messages = m_link->receive(std::chrono::milliseconds{0});
     for (const peer_message& message : messages)
     {
-        take(message);
+        if (const auto* notice = std::get_if<roster_notice>(&message.m_content))
+        {
+            send(m_members.on_notice(message.m_sender, *notice, m_clock.now()));
+        }
+        else
+        {
+            m_take(message);
+        }
     }
     if (!messages.empty())
     {
@@ -48,19 +53,6 @@
     }
 }
 
-void peer_gossip::take(const peer_message& message)
-{
-    const time_point now = m_clock.now();
-    std::visit(
-        overloaded{[&](const roster_notice& content)
-                   { send(m_members.on_notice(message.m_sender, content, now)); },
-                   [&](const token_request& content) { m_quotas.on_message(message.m_sender, content, now); },
-                   [&](const token_grant& content) { m_quotas.on_message(message.m_sender, content, now); },
-                   [](const auto&) {
-                   }},
-        message.m_content);
-}
-
 void peer_gossip::send(const std::vector<outgoing_message>& messages)
 {
     for (const outgoing_message& message : messages)
--- a/tests/unit/fleet/unit-roster.cpp
+++ b/tests/unit/fleet/unit-roster.cpp
@@ -82,7 +82,7 @@
     std::unique_ptr<roster> make(const endpoint& address, node_incarnation incarnation)
     {
         const std::vector<endpoint> seeds{address_of(0), address_of(1), address_of(2)};
-        return std::make_unique<roster>(address, incarnation, seeds, roster_settings{}, m_now);
+        return std::make_unique<roster>(address, "north", incarnation, seeds, roster_settings{}, m_now);
     }
 
     void post(const endpoint& sender, const std::vector<outgoing_message>& messages)
--- a/tests/unit/forwarding/unit-upstream-directory.cpp
+++ b/tests/unit/forwarding/unit-upstream-directory.cpp
@@ -94,7 +94,8 @@
     {
         change(entry_of("a", 0));
         change(entry_of("a", 1));
-        m_directory.on_listing({}, true, start);
+        m_directory.on_removed("a-0", true);
+        m_directory.on_removed("a-1", true);
         CPPUNIT_ASSERT(is_chosen("a"));
         upstream_entry back = entry_of("a", 1);
         back.m_sequence = 3;
