Count a node as settled once it hears of no new one; test publications and decoders

Change: a node is settled a second after the last new node it heard of (1.5 to 6 s after its start); until then an owner gives a quarter of the rate. Tables of good and bad configurations, entries, pages, settings and header fields; a simulated data centre for the passing on of news.

--- a/packages/fleet/include/teasellead/fleet/roster.hpp
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -23,8 +23,11 @@
     duration m_silence{std::chrono::seconds{8}};               ///< after which one silent node is forgotten
     duration m_partition_silence{std::chrono::seconds{30}};    ///< the same if most others are silent too
     duration m_join_time{std::chrono::milliseconds{1500}}; ///< after which a node without answers is alone
-    duration m_settling_time{std::chrono::seconds{2}}; ///< after a start, in which others may be unknown yet
-    std::size_t m_least_nodes_at_start{10};            ///< nodes that are assumed meanwhile
+    duration m_settling_time{
+        std::chrono::milliseconds{1500}};          ///< after a start, others may be unknown so long
+    duration m_calm_time{std::chrono::seconds{1}}; ///< without a new node, after which most are known
+    duration m_longest_settling_time{std::chrono::seconds{6}};
+    std::size_t m_least_nodes_at_start{10}; ///< nodes that are assumed meanwhile
 
     friend bool operator==(const roster_settings&, const roster_settings&) = default;
 };
@@ -74,10 +77,12 @@
     */
     [[nodiscard]] std::vector<outgoing_message> on_tick(bool leaving, random_source& random, time_point now);
 
-    /// whether this node has been up for long enough to know most others
+    /// whether this node knows most others: it has heard of no new one for a while
     [[nodiscard]] bool has_settled(time_point now) const
     {
-        return now - m_started_at >= m_settings.m_settling_time;
+        const bool is_new = now - m_started_at < m_settings.m_settling_time;
+        return !is_new && (now - m_last_joined >= m_settings.m_calm_time ||
+                           now - m_started_at >= m_settings.m_longest_settling_time);
     }
 
     /// whether this node has heard from another, or is alone
@@ -120,6 +125,7 @@
     roster_settings m_settings;
     time_point m_started_at;
     time_point m_next_gossip;
+    time_point m_last_joined{}; ///< when a new node was last heard of
     std::map<endpoint, known_node> m_nodes;
     duration m_counted_silence;
     std::size_t m_recent_nodes{0};
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -35,7 +35,7 @@
 constexpr double stand_in_saving_s = 0.2;
 constexpr milliseconds min_retry_after{20};
 // until all nodes know each other, several may take themselves for the owner
-constexpr double unsettled_part = 0.4;
+constexpr double unsettled_part = 0.25;
 
 double seconds_of(duration length)
 {
--- a/packages/fleet/src/roster.cpp
+++ b/packages/fleet/src/roster.cpp
@@ -36,6 +36,7 @@
     if (known == m_nodes.end())
     {
         m_nodes.emplace(record.m_address, known_node{record, now});
+        m_last_joined = now;
         return;
     }
     const node_record& old = known->second.m_record;
@@ -107,6 +108,7 @@
         }
     }
     std::vector<outgoing_message> result;
+    result.reserve(receivers.size());
     for (const endpoint& receiver : receivers)
     {
         result.push_back({receiver, make_notice(random, is_new, now)});
--- /dev/null
+++ b/tests/unit/fleet/unit-publication.cpp
@@ -0,0 +1,365 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "teasellead/fleet/codec.hpp"
+#include "teasellead/fleet/publication_follower.hpp"
+#include "teasellead/fleet/publication_log.hpp"
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace teasellead;
+
+constexpr time_point start{1h};
+constexpr duration step = 50ms;
+
+published_item item_of(const std::string& key, const std::string& value, std::uint64_t revision)
+{
+    return {key, value, revision};
+}
+
+endpoint address_of(std::size_t node)
+{
+    return endpoint{static_cast<std::uint32_t>(10 + node), 7000};
+}
+
+/// nodes of one data centre, a source that some of them can't reach, and messages that take a step
+class news_fleet
+{
+  public:
+    explicit news_fleet(std::size_t nodes)
+    {
+        for (std::size_t i = 0; i < nodes; ++i)
+        {
+            m_nodes.push_back(
+                {publication_follower{address_of(i), follower_settings{}, i}, publication_log{}, {}, {}});
+        }
+        for (std::size_t i = 0; i < nodes; ++i)
+        {
+            std::vector<endpoint> others;
+            for (std::size_t other = 0; other < nodes; ++other)
+            {
+                if (other != i)
+                {
+                    others.push_back(address_of(other));
+                }
+            }
+            m_nodes[i].m_follower.on_members(others, {});
+        }
+    }
+
+    void publish(const std::string& value)
+    {
+        ++m_revision;
+        m_published = item_of("key", value, m_revision);
+    }
+
+    void cut_from_source(std::size_t node)
+    {
+        m_cut.insert(node);
+    }
+
+    void stop(std::size_t node)
+    {
+        m_stopped.insert(node);
+    }
+
+    void run(duration time)
+    {
+        for (const time_point end = m_now + time; m_now < end; m_now += step)
+        {
+            deliver();
+            for (std::size_t i = 0; i < m_nodes.size(); ++i)
+            {
+                if (m_stopped.count(i) == 0)
+                {
+                    read_source(i);
+                    post(i, m_nodes[i].m_follower.on_tick(m_nodes[i].m_log.as_of(), m_now));
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] std::size_t readers() const
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        {
+            count += m_stopped.count(i) == 0 && m_nodes[i].m_follower.reads_source(m_now) ? 1 : 0;
+        }
+        return count;
+    }
+
+    [[nodiscard]] std::size_t reader() const
+    {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        {
+            if (m_stopped.count(i) == 0 && m_nodes[i].m_follower.reads_source(m_now))
+            {
+                return i;
+            }
+        }
+        return m_nodes.size();
+    }
+
+    [[nodiscard]] bool all_know(std::uint64_t revision) const
+    {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        {
+            if (m_stopped.count(i) == 0 && m_nodes[i].m_log.as_of() < revision)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// age of the oldest proof among running nodes
+    [[nodiscard]] duration oldest_proof() const
+    {
+        duration result{};
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        {
+            if (m_stopped.count(i) == 0)
+            {
+                result = std::max(result, m_now - m_nodes[i].m_proved_at);
+            }
+        }
+        return result;
+    }
+
+    [[nodiscard]] std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+
+  private:
+    struct fleet_node
+    {
+        publication_follower m_follower;
+        publication_log m_log;
+        time_point m_next_read;
+        time_point m_proved_at;
+    };
+
+    struct flying
+    {
+        endpoint m_sender;
+        outgoing_message m_message;
+    };
+
+    void read_source(std::size_t index)
+    {
+        fleet_node& self = m_nodes[index];
+        const bool is_first = self.m_log.as_of() == 0;
+        if ((!is_first && !self.m_follower.reads_source(m_now)) || m_now < self.m_next_read)
+        {
+            return;
+        }
+        self.m_next_read = m_now + 1s;
+        if (m_cut.count(index) > 0)
+        {
+            self.m_follower.on_source(false, m_now);
+            return;
+        }
+        self.m_follower.on_source(true, m_now);
+        self.m_log.on_listing({m_published}, m_revision);
+        self.m_follower.on_proof(m_now);
+        self.m_proved_at = m_now;
+    }
+
+    void post(std::size_t sender, const std::vector<outgoing_message>& messages)
+    {
+        for (const outgoing_message& message : messages)
+        {
+            m_flying.push_back({address_of(sender), message});
+        }
+    }
+
+    void deliver()
+    {
+        std::deque<flying> arrived;
+        std::swap(arrived, m_flying);
+        for (const flying& each : arrived)
+        {
+            const std::size_t receiver = each.m_message.m_receiver.address() - 10;
+            if (m_stopped.count(receiver) > 0)
+            {
+                continue;
+            }
+            fleet_node& self = m_nodes[receiver];
+            if (const auto* request = std::get_if<publication_request>(&each.m_message.m_content))
+            {
+                post(receiver, {self.m_follower.answer(each.m_sender, *request, self.m_log, 0ms, m_now)});
+                continue;
+            }
+            const auto& reply = std::get<publication_reply>(each.m_message.m_content);
+            const auto news = self.m_follower.on_reply(each.m_sender, reply, self.m_log);
+            if (news && news->m_proved_at)
+            {
+                CPPUNIT_ASSERT(*news->m_proved_at <= m_now);
+                self.m_proved_at = std::max(self.m_proved_at, *news->m_proved_at);
+            }
+        }
+    }
+
+    std::vector<fleet_node> m_nodes;
+    std::set<std::size_t> m_cut;
+    std::set<std::size_t> m_stopped;
+    std::deque<flying> m_flying;
+    std::uint64_t m_revision{1};
+    published_item m_published{"key", "first", 1};
+    time_point m_now{start};
+};
+
+class publication_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(publication_test);
+    CPPUNIT_TEST(delta_brings_another_log_up_to_date);
+    CPPUNIT_TEST(listing_tells_what_was_removed);
+    CPPUNIT_TEST(older_news_change_nothing);
+    CPPUNIT_TEST(old_history_is_answered_with_everything);
+    CPPUNIT_TEST(one_node_reads_and_all_know);
+    CPPUNIT_TEST(lost_reader_is_replaced_before_proofs_end);
+    CPPUNIT_TEST(reader_without_source_asks_its_peers);
+    CPPUNIT_TEST(nobody_proves_what_nobody_knows);
+    CPPUNIT_TEST(messages_survive_the_wire);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void delta_brings_another_log_up_to_date()
+    {
+        publication_log first;
+        publication_log second;
+        first.on_listing({item_of("a", "1", 3), item_of("b", "1", 4)}, 5);
+        second.on_listing({item_of("a", "1", 3), item_of("b", "1", 4)}, 5);
+        first.on_changes({item_of("a", "2", 6), {"b", std::nullopt, 7}, item_of("c", "1", 8)}, 8);
+        const publication_delta delta = first.since(second.as_of());
+        CPPUNIT_ASSERT(!delta.m_is_full);
+        const auto news = second.on_changes(delta.m_items, delta.m_as_of);
+        const std::vector<published_item> expected{
+            item_of("a", "2", 6), {"b", std::nullopt, 7}, item_of("c", "1", 8)};
+        CPPUNIT_ASSERT(news == expected);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, second.as_of());
+        CPPUNIT_ASSERT(first.since(8).m_items.empty());
+    }
+
+    void listing_tells_what_was_removed()
+    {
+        publication_log log;
+        log.on_listing({item_of("a", "1", 3), item_of("b", "1", 4)}, 5);
+        const auto news = log.on_listing({item_of("b", "1", 4)}, 9);
+        CPPUNIT_ASSERT((news == std::vector<published_item>{{"a", std::nullopt, 9}}));
+        // a late event of the removed item's earlier life brings nothing back
+        CPPUNIT_ASSERT(log.on_changes({item_of("a", "1", 6)}, 9).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.size());
+    }
+
+    void older_news_change_nothing()
+    {
+        publication_log log;
+        log.on_listing({item_of("a", "2", 6)}, 8);
+        CPPUNIT_ASSERT(log.on_listing({item_of("a", "1", 3)}, 5).empty());
+        CPPUNIT_ASSERT(log.on_changes({item_of("a", "1", 3)}, 5).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, log.as_of());
+    }
+
+    void old_history_is_answered_with_everything()
+    {
+        publication_log log;
+        log.on_listing({item_of("a", "1", 1)}, 1);
+        for (std::uint64_t revision = 2; revision < 3000; ++revision)
+        {
+            log.on_changes({item_of("b", std::to_string(revision), revision)}, revision);
+        }
+        CPPUNIT_ASSERT(log.since(10).m_is_full);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, log.since(10).m_items.size());
+        CPPUNIT_ASSERT(!log.since(2990).m_is_full);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.since(2990).m_items.size());
+    }
+
+    void one_node_reads_and_all_know()
+    {
+        news_fleet fleet{16};
+        fleet.run(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.readers());
+        fleet.publish("second");
+        fleet.run(2s);
+        CPPUNIT_ASSERT(fleet.all_know(fleet.revision()));
+        for (int second = 0; second < 30; ++second)
+        {
+            fleet.run(1s);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.readers());
+            CPPUNIT_ASSERT(fleet.oldest_proof() < 3s);
+        }
+    }
+
+    void lost_reader_is_replaced_before_proofs_end()
+    {
+        news_fleet fleet{16};
+        fleet.run(5s);
+        fleet.stop(fleet.reader());
+        for (int second = 0; second < 20; ++second)
+        {
+            fleet.run(1s);
+            CPPUNIT_ASSERT(fleet.oldest_proof() < 4700ms);
+        }
+        fleet.publish("second");
+        fleet.run(6s);
+        CPPUNIT_ASSERT(fleet.all_know(fleet.revision()));
+    }
+
+    void reader_without_source_asks_its_peers()
+    {
+        news_fleet fleet{4};
+        fleet.run(5s);
+        fleet.cut_from_source(fleet.reader());
+        for (int second = 0; second < 20; ++second)
+        {
+            fleet.run(1s);
+            CPPUNIT_ASSERT(fleet.oldest_proof() < 4700ms);
+        }
+    }
+
+    void nobody_proves_what_nobody_knows()
+    {
+        news_fleet fleet{4};
+        fleet.run(5s);
+        for (std::size_t node = 0; node < 4; ++node)
+        {
+            fleet.cut_from_source(node);
+        }
+        fleet.run(10s);
+        // proofs aren't made younger by passing them on
+        CPPUNIT_ASSERT(fleet.oldest_proof() >= 9s);
+    }
+
+    void messages_survive_the_wire()
+    {
+        const std::vector<peer_content> contents{
+            publication_request{3, 4},
+            publication_reply{
+                3, 9, true, {item_of("a", std::string("\0\xff", 2), 7), {"b", std::nullopt, 8}}, 120ms, 5ms},
+            publication_reply{3, 9, false, {}, std::nullopt, 0ms},
+            token_request{1, "school", 4},
+            token_grant{1, "school", 0, 250ms},
+            roster_notice{{{address_of(1), 5, 6, true, "north"}}, true},
+        };
+        for (const peer_content& content : contents)
+        {
+            const peer_message message{address_of(0), 42, content};
+            CPPUNIT_ASSERT(decode(encode(message)) == message);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(publication_test);
+
+} // namespace
--- a/tests/unit/fleet/unit-quota-ledger.cpp
+++ b/tests/unit/fleet/unit-quota-ledger.cpp
@@ -343,6 +343,7 @@
     {
         quota_ledger ledger{address_of(0), bound};
         ledger.on_declarations({{"school", 5.0, 5.0, {}}}, start);
+        ledger.on_members({}, true, start);
         duration last{};
         int refused = 0;
         for (quota_ticket ticket = 1; ticket <= 20; ++ticket)
--- /dev/null
+++ b/tests/unit/platform/unit-decode.cpp
@@ -0,0 +1,222 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "platform/decode.hpp"
+#include "teasellead/kernel/exceptions.hpp"
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace teasellead;
+using namespace teasellead::platform;
+
+const std::string valid_upstream =
+    R"({"service":"net","address":"10.128.0.9:8080","zone":"q1","version":"v1","capacity":3,"state":"ready",)"
+    R"("warmupRemainingMs":250,"sequence":4,"born":1700000000123})";
+
+const std::string valid_configuration = R"({"version":7,
+  "routes":[
+    {"name":"all","hostname":"leno.example","prefix":"/a/","type":"idempotent","timeoutMs":600,"targetLatencyMs":60,
+     "priority":2,"fanoutServices":["s1","s2"],"maxAttempts":2,"topK":5,"minCoverage":0.75,"public":false},
+    {"name":"one","hostname":"leno.example","prefix":"/b/","type":"non_idempotent","timeoutMs":5000,"service":"s3",
+     "maxAttempts":3,"public":true},
+    {"name":"split","hostname":"leno.example","prefix":"/c/","type":"idempotent","timeoutMs":100,
+     "trafficSplit":[{"service":"s1","weight":0.25},{"service":"s2","weight":0.75}]}],
+  "services":[{"name":"s1","healthCheckPath":"/healthz","maxConnections":31,"warmupS":3.0,"warmupPerS":2.5},
+    {"name":"s2"},{"name":"s3"}],
+  "limits":{"maxHeaderBytes":4096,"maxBodyBytes":262144,"headerTimeoutMs":2000,"idleTimeoutMs":8000},
+  "tenants":[{"name":"school","apiKeys":["k1","k2"],"requestsPerS":16,"burstSize":8,"priority":1}],
+  "unknown":{"later":true}})";
+
+const std::string valid_settings = R"({"nodeName":"front-q1-1","zone":"q1","region":"hcm",
+  "bindAddresses":{"front":"10.1.0.17:8363","readiness":"10.1.0.17:8364","control":"10.1.0.17:8360"},
+  "internalPorts":[7740,7755],"seeds":["10.1.0.17:8360","10.2.0.28:8360"],"later":[1,2],
+  "bounds":{"strictRevocation":true,"revokeTimeoutMs":5000,"retryBudgetRatio":0.2,"retryWindowS":10,
+    "retryBudgetSlack":56,"quotaWindowS":5,"quotaOverage":0.25,"quotaSlack":20,"gracePeriodS":6},
+  "platform":{"address":"10.200.1.7:8361","form":"read"}})";
+
+std::string replaced(std::string text, const std::string& part, const std::string& by)
+{
+    const auto found = text.find(part);
+    CPPUNIT_ASSERT(found != std::string::npos);
+    return text.replace(found, part.size(), by);
+}
+
+class decode_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(decode_test);
+    CPPUNIT_TEST(configuration_is_read_whole);
+    CPPUNIT_TEST(bad_configurations_are_refused);
+    CPPUNIT_TEST(upstream_is_read_whole);
+    CPPUNIT_TEST(unusable_entries_name_no_upstream);
+    CPPUNIT_TEST(pages_of_the_store);
+    CPPUNIT_TEST(bad_pages_are_refused);
+    CPPUNIT_TEST(items_are_told_by_their_keys);
+    CPPUNIT_TEST(settings_are_read);
+    CPPUNIT_TEST(bad_settings_are_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void configuration_is_read_whole()
+    {
+        const forwarding::declarations read = decode_declarations(valid_configuration);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, read.m_version);
+        const forwarding::route all{"all", "leno.example",
+                                    "/a/", forwarding::repeatability::idempotent,
+                                    600ms, 60ms,
+                                    2,     2,
+                                    false, forwarding::scatter{{"s1", "s2"}, 5, 0.75}};
+        CPPUNIT_ASSERT(read.m_routes[0] == all);
+        const forwarding::route one{"one",  "leno.example",
+                                    "/b/",  forwarding::repeatability::non_idempotent,
+                                    5000ms, 5000ms,
+                                    3,      0,
+                                    true,   forwarding::one_service{"s3"}};
+        CPPUNIT_ASSERT(read.m_routes[1] == one);
+        const forwarding::traffic_division split{{{"s1", 0.25}, {"s2", 0.75}}};
+        CPPUNIT_ASSERT(std::get<forwarding::traffic_division>(read.m_routes[2].m_target) == split);
+        CPPUNIT_ASSERT((read.m_services[0] == forwarding::service{"s1", 31, 2.5}));
+        CPPUNIT_ASSERT((read.m_accounts[0] == forwarding::account{"school", 16.0, 8.0, {"k1", "k2"}}));
+        CPPUNIT_ASSERT((read.m_limits == forwarding::caller_limits{4096, 262144, 2000ms, 8000ms}));
+    }
+
+    void bad_configurations_are_refused()
+    {
+        const std::vector<std::string> texts{
+            "",
+            "{",
+            "[]",
+            replaced(valid_configuration, "\"version\":7", "\"version\":\"7\""),
+            replaced(valid_configuration, "\"version\":7,", ""),
+            replaced(valid_configuration, "\"timeoutMs\":600", "\"timeoutMs\":null"),
+            replaced(valid_configuration, "\"service\":\"s3\",", ""),
+            replaced(valid_configuration, "[\"s1\",\"s2\"]", "[1,2]"),
+        };
+        for (const std::string& text : texts)
+        {
+            CPPUNIT_ASSERT_THROW_MESSAGE(text.substr(0, 60), (void)decode_declarations(text), protocol_error);
+        }
+    }
+
+    void upstream_is_read_whole()
+    {
+        const forwarding::directory_item read = decode_upstream("servers/i-1", valid_upstream);
+        const forwarding::upstream_entry expected{
+            "i-1", "net", endpoint::parse("10.128.0.9:8080"), "q1", 3, 1700000000123, 4, false, 250ms};
+        CPPUNIT_ASSERT((read == forwarding::directory_item{"i-1", expected}));
+        const std::string draining = replaced(valid_upstream, "\"ready\"", "\"draining\"");
+        CPPUNIT_ASSERT(decode_upstream("servers/i-1", draining).m_entry->m_is_draining);
+    }
+
+    void unusable_entries_name_no_upstream()
+    {
+        const std::vector<std::string> values{
+            "",
+            "\xff\xfe",
+            "{}",
+            "[1]",
+            "null",
+            replaced(valid_upstream, "\"ready\"", "\"resting\""),
+            replaced(valid_upstream, "\"ready\"", "3"),
+            replaced(valid_upstream, "\"service\":\"net\",", ""),
+            replaced(valid_upstream, "10.128.0.9:8080", "10.128.0.9"),
+            replaced(valid_upstream, "10.128.0.9:8080", "host.example:80"),
+            replaced(valid_upstream, "\"capacity\":3", "\"capacity\":\"3\""),
+            replaced(valid_upstream, "\"zone\":\"q1\"", "\"zone\":null"),
+            replaced(valid_upstream, "\"born\":1700000000123", "\"born\":\"today\""),
+        };
+        for (const std::string& value : values)
+        {
+            CPPUNIT_ASSERT_MESSAGE(value, (decode_upstream("servers/i-1", value) ==
+                                           forwarding::directory_item{"i-1", std::nullopt}));
+        }
+    }
+
+    void pages_of_the_store()
+    {
+        const store_page range = decode_page(
+            R"({"items":[{"key":"op/x","value":"e30=","revision":5,"created":5,"leaseId":0}],"hasMore":true,"asOf":9})");
+        CPPUNIT_ASSERT((range == store_page{{{"op/x", "{}", 5}}, 9, true}));
+        const store_page watch =
+            decode_page(R"({"events":[{"key":"op/x","revision":10,"removed":true}],"asOf":10})");
+        CPPUNIT_ASSERT((watch == store_page{{{"op/x", std::nullopt, 10}}, 10, false}));
+    }
+
+    void bad_pages_are_refused()
+    {
+        const std::vector<std::string> bodies{
+            "",
+            "<html>",
+            R"({"items":[]})",
+            R"({"items":[],"asOf":"9"})",
+            R"({"items":{},"asOf":9)",
+            R"({"items":[{"key":"a","value":"***","revision":1}],"asOf":9})",
+            R"({"items":[{"value":"e30=","revision":1}],"asOf":9})",
+            R"({"items":[{"key":"a","value":"e30=","revi)",
+        };
+        for (const std::string& body : bodies)
+        {
+            CPPUNIT_ASSERT_THROW_MESSAGE(body, (void)decode_page(body), protocol_error);
+        }
+    }
+
+    void items_are_told_by_their_keys()
+    {
+        using runtime::publication;
+        CPPUNIT_ASSERT(std::holds_alternative<forwarding::declarations>(
+            decode_item({"op/config", valid_configuration, 1})));
+        CPPUNIT_ASSERT((decode_item({"op/evacuate/q1", "{}", 1}) ==
+                        publication{runtime::data_centre_evacuated{"q1", true}}));
+        CPPUNIT_ASSERT((decode_item({"op/evacuate/q1", std::nullopt, 1}) ==
+                        publication{runtime::data_centre_evacuated{"q1", false}}));
+        CPPUNIT_ASSERT((decode_item({"servers/i-1", std::nullopt, 1}) ==
+                        publication{runtime::upstream_withdrawn{"i-1"}}));
+        CPPUNIT_ASSERT(std::holds_alternative<runtime::upstream_published>(
+            decode_item({"servers/i-1", valid_upstream, 1})));
+        CPPUNIT_ASSERT((decode_item({"other/thing", "x", 1}) == publication{runtime::nothing_published{}}));
+        CPPUNIT_ASSERT(
+            (decode_item({"op/config", std::nullopt, 1}) == publication{runtime::nothing_published{}}));
+    }
+
+    void settings_are_read()
+    {
+        const runtime::forwarding_settings read = decode_settings(valid_settings);
+        CPPUNIT_ASSERT_EQUAL(std::string{"front-q1-1"}, read.m_name);
+        CPPUNIT_ASSERT_EQUAL(std::string{"q1"}, read.m_data_centre);
+        CPPUNIT_ASSERT(read.m_callers == endpoint::parse("10.1.0.17:8363"));
+        CPPUNIT_ASSERT(read.m_peers == endpoint::parse("10.1.0.17:8360"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.m_seeds.size());
+        CPPUNIT_ASSERT(read.m_key_freshness < 5s);
+        CPPUNIT_ASSERT(read.m_key_freshness > 3s);
+        CPPUNIT_ASSERT((read.m_attempt_budget == forwarding::attempt_budget_settings{0.2, 56.0, 10s}));
+        CPPUNIT_ASSERT((read.m_account_bound == account_bound{5s, 0.25, 20.0}));
+        CPPUNIT_ASSERT(decode_store_address(valid_settings) == endpoint::parse("10.200.1.7:8361"));
+    }
+
+    void bad_settings_are_refused()
+    {
+        const std::vector<std::string> texts{
+            "",
+            "{",
+            "7",
+            replaced(valid_settings, "\"nodeName\":\"front-q1-1\",", ""),
+            replaced(valid_settings, "\"front\":\"10.1.0.17:8363\",", ""),
+            replaced(valid_settings, "10.1.0.17:8363", "10.1.0.17"),
+            replaced(valid_settings, "\"revokeTimeoutMs\":5000,", ""),
+            replaced(valid_settings, "[7740,7755]", "\"7740\""),
+        };
+        for (const std::string& text : texts)
+        {
+            CPPUNIT_ASSERT_THROW_MESSAGE(text.substr(0, 60), (void)decode_settings(text), settings_error);
+        }
+        CPPUNIT_ASSERT_THROW((void)decode_store_address(replaced(valid_settings, "10.200.1.7:8361", "store")),
+                             settings_error);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(decode_test);
+
+} // namespace
--- /dev/null
+++ b/tests/unit/platform/unit-http-protocol.cpp
@@ -0,0 +1,163 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "platform/http_protocol.hpp"
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace teasellead;
+using namespace teasellead::runtime;
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+class http_protocol_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(http_protocol_test);
+    CPPUNIT_TEST(terms_of_a_request);
+    CPPUNIT_TEST(head_of_an_attempt);
+    CPPUNIT_TEST(responses_and_their_meaning);
+    CPPUNIT_TEST(reply_passes_on_what_callers_need);
+    CPPUNIT_TEST(foreign_responses_are_told);
+    CPPUNIT_TEST(fields_of_a_gathered_answer);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void terms_of_a_request()
+    {
+        struct row
+        {
+            std::vector<header_field> m_fields;
+            request_terms m_expected;
+        };
+        const std::vector<row> rows{
+            {{{"Request-Id", "9c"}, {"Deadline-Ms", "600"}, {"Authorization", "Bearer xmi"}},
+             {"9c", 600ms, "xmi"}},
+            {{{"request-id", "9c"}, {"authorization", "bearer xmi"}}, {"9c", std::nullopt, "xmi"}},
+            {{{"Request-Id", "9c"}, {"Deadline-Ms", "soon"}, {"Authorization", "Basic xmi"}},
+             {"9c", std::nullopt, std::nullopt}},
+            {{{"Deadline-Ms", "-5"}, {"Authorization", "Bearer "}}, {"", std::nullopt, std::nullopt}},
+        };
+        for (const row& each : rows)
+        {
+            CPPUNIT_ASSERT(m_protocol.read_terms({"GET", "/", each.m_fields, "", false}) == each.m_expected);
+        }
+    }
+
+    void head_of_an_attempt()
+    {
+        const http_request request{"POST",
+                                   "/a/b?x=1",
+                                   {{"Host", "leno.example"},
+                                    {"Request-Id", "9c"},
+                                    {"Deadline-Ms", "600"},
+                                    {"Authorization", "Bearer secret"},
+                                    {"Tenant-Id", "forged"},
+                                    {"Target-Instance", "forged"},
+                                    {"Connection", "keep-alive, X-Hop"},
+                                    {"X-Hop", "1"},
+                                    {"Transfer-Encoding", "chunked"},
+                                    {"X-Other", "kept"}},
+                                   "body",
+                                   true};
+        const std::string head =
+            m_protocol.common_head(request, "school") + m_protocol.attempt_fields("i-7", 250ms);
+        CPPUNIT_ASSERT(contains(head, "POST /a/b?x=1 HTTP/1.1\r\n"));
+        for (const char* kept :
+             {"Host: leno.example\r\n", "Request-Id: 9c\r\n", "X-Other: kept\r\n", "Tenant-Id: school\r\n",
+              "Content-Length: 4\r\n", "Target-Instance: i-7\r\n", "Deadline-Ms: 250\r\n"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(kept, contains(head, kept));
+        }
+        for (const char* dropped : {"secret", "forged", "X-Hop", "chunked", "600"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(dropped, !contains(head, dropped));
+        }
+    }
+
+    void responses_and_their_meaning()
+    {
+        using forwarding::attempt_failure;
+        struct row
+        {
+            unsigned m_status;
+            std::vector<header_field> m_fields;
+            std::optional<attempt_failure> m_failure; ///< nothing for a reply
+        };
+        const header_field signature{"Server-Stamp", "3e.1"};
+        const std::vector<row> rows{
+            {200, {signature}, std::nullopt},
+            {404, {signature}, std::nullopt},
+            {500, {signature}, std::nullopt},
+            {200, {}, attempt_failure::broken},
+            {200, {signature, {"Content-Encoding", "gzip"}}, attempt_failure::broken},
+            {503, {{"Not-Executed", "1"}}, attempt_failure::shed},
+            {429, {{"Not-Executed", "1"}}, attempt_failure::shed},
+            {400, {{"Not-Executed", "1"}}, attempt_failure::shed},
+            {421, {{"Instance-Id", "i-2"}}, attempt_failure::wrong_instance},
+            // without the attestation these would look like a promise to the caller
+            {503, {signature}, attempt_failure::broken},
+            {429, {signature}, attempt_failure::broken},
+            {408, {signature}, attempt_failure::broken},
+        };
+        for (const row& each : rows)
+        {
+            const attempt_outcome outcome =
+                m_protocol.read_response({{each.m_status, each.m_fields, "x"}, ""});
+            const auto* const failure = std::get_if<attempt_failure>(&outcome);
+            CPPUNIT_ASSERT_EQUAL(each.m_failure.has_value(), failure != nullptr);
+            CPPUNIT_ASSERT(failure == nullptr || *failure == *each.m_failure);
+        }
+    }
+
+    void reply_passes_on_what_callers_need()
+    {
+        const attempt_outcome outcome = m_protocol.read_response({{200,
+                                                                   {{"Server-Stamp", "3e.1"},
+                                                                    {"Request-Id", "9c"},
+                                                                    {"Server-Load", "3,1,8"},
+                                                                    {"Content-Length", "4"},
+                                                                    {"Connection", "close"},
+                                                                    {"Keep-Alive", "timeout=5"},
+                                                                    {"Content-Type", "text/plain"}},
+                                                                   "body"},
+                                                                  "close"});
+        const auto& reply = std::get<forwarding::upstream_reply>(outcome);
+        const std::vector<header_field> expected{
+            {"Server-Stamp", "3e.1"}, {"Request-Id", "9c"}, {"Content-Type", "text/plain"}};
+        CPPUNIT_ASSERT(reply.m_fields == expected);
+        CPPUNIT_ASSERT((reply.m_load == forwarding::reported_load{3, 1, 8}));
+        CPPUNIT_ASSERT_EQUAL(std::string{"body"}, reply.m_body);
+    }
+
+    void foreign_responses_are_told()
+    {
+        CPPUNIT_ASSERT(m_protocol.is_own({200, {{"Request-Id", "9c"}}, ""}, "9c"));
+        CPPUNIT_ASSERT(m_protocol.is_own({200, {}, ""}, "9c"));
+        CPPUNIT_ASSERT(!m_protocol.is_own({200, {{"Request-Id", "9d"}}, ""}, "9c"));
+    }
+
+    void fields_of_a_gathered_answer()
+    {
+        forwarding::gathered answer;
+        answer.m_parts = {{200, {}, "", "s1", std::nullopt}, {200, {}, "", "s2", std::nullopt}};
+        const std::vector<header_field> whole{{"Shard-Stamps", "s1, s2"}};
+        CPPUNIT_ASSERT(m_protocol.gathered_fields(answer) == whole);
+        answer.m_missing = 1;
+        const std::vector<header_field> partial{{"Shard-Stamps", "s1, s2"}, {"Missing-Shards", "1"}};
+        CPPUNIT_ASSERT(m_protocol.gathered_fields(answer) == partial);
+    }
+
+  private:
+    platform::http_protocol m_protocol;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_protocol_test);
+
+} // namespace
