Test the node over platform/ with processes; fit watches to short bounds

Change: bounds under 3.6 s get watches of a quarter of the proof's time, with a second kept for watches that the store silences; followers poll in proportion. process-platform starts the real node against a stand-in of the store and of upstreams: forwarded and gathered answers, withdrawn key, draining, lost booking, foreign answers, store away and back, lost history, SIGTERM under load, a limit over two nodes, bad settings.

--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -21,6 +21,9 @@
     duration m_usable_proof_age{std::chrono::milliseconds{3300}}; ///< older news make a node look elsewhere
     duration m_alone_time{std::chrono::seconds{4}}; ///< how long a follower reads by itself once it has begun
 
+    /// periods that fit into the time for which a proof holds
+    [[nodiscard]] static follower_settings for_freshness(duration key_freshness);
+
     friend bool operator==(const follower_settings&, const follower_settings&) = default;
 };
 
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -24,6 +24,18 @@
 
 } // namespace
 
+follower_settings follower_settings::for_freshness(duration key_freshness)
+{
+    constexpr duration::rep questions = 8;
+    constexpr double usable_part = 0.7;
+    follower_settings result;
+    result.m_poll_period = std::min(result.m_poll_period, key_freshness / questions);
+    result.m_answer_time = std::min(result.m_answer_time, key_freshness / questions);
+    result.m_usable_proof_age = std::min(result.m_usable_proof_age,
+                                         std::chrono::duration_cast<duration>(key_freshness * usable_part));
+    return result;
+}
+
 void publication_follower::on_members(std::vector<endpoint> local, std::vector<endpoint> others)
 {
     m_local = std::move(local);
--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -34,7 +34,8 @@
                                      std::function<void(forwarding::declarations)> on_declarations)
     : m_platform(platform), m_clock(clock), m_freshness(fresh), m_directory(directory), m_log(log),
       m_on_declarations(std::move(on_declarations)),
-      m_follower(self, follower_settings{}, std::hash<endpoint>{}(self)),
+      m_follower(self, follower_settings::for_freshness(platform.settings().m_key_freshness),
+                 std::hash<endpoint>{}(self)),
       m_source(platform.make_source(loop, clock, *this))
 {
 }
--- /dev/null
+++ b/tests/support/platform_fleet.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "child_process.hpp"
+#include "platform_standins.hpp"
+
+namespace test_support
+{
+
+/// a store, upstreams and nodes of the platform on loopback addresses of their own
+class platform_fleet
+{
+  public:
+    /*!
+    @brief starts a store that publishes a configuration of three shards and a service for single requests
+
+    @param[in] net  second byte of all addresses, unique among tests that run at the same time
+    */
+    explicit platform_fleet(unsigned net);
+    ~platform_fleet();
+    platform_fleet(const platform_fleet&) = delete;
+    platform_fleet& operator=(const platform_fleet&) = delete;
+
+    /// starts node `n` and waits until it is ready
+    void start_node(unsigned number);
+
+    /// starts node `n`
+    void launch_node(unsigned number);
+
+    /// waits until node `n` is ready
+    void wait_until_ready(unsigned number);
+
+    [[nodiscard]] child_process& node(unsigned number);
+
+    /// stops a node without a signal to it being left
+    void forget_node(unsigned number);
+
+    [[nodiscard]] teasellead::endpoint callers_of(unsigned number) const;
+
+    /// publishes a configuration with keys of the account `school`
+    void publish(std::uint64_t version, const std::vector<std::string>& keys);
+
+    [[nodiscard]] standin_store& store() noexcept
+    {
+        return *m_store;
+    }
+
+    /// all upstreams; those of the shards first, then those of the service for single requests
+    [[nodiscard]] const std::vector<std::unique_ptr<standin_upstream>>& upstreams() const noexcept
+    {
+        return m_upstreams;
+    }
+
+    /// everything that a node has written
+    [[nodiscard]] std::string output_of(unsigned number) const;
+
+    /// bound on the use of a withdrawn key in the nodes' settings
+    static constexpr std::chrono::milliseconds revocation_bound{2000};
+
+  private:
+    [[nodiscard]] std::string address(unsigned host, unsigned port) const;
+    [[nodiscard]] std::string settings_of(unsigned number) const;
+    void add_upstream(const std::string& service, unsigned number);
+
+    std::string m_net;
+    std::string m_directory;
+    loop_thread m_thread;
+    std::unique_ptr<standin_store> m_store;
+    std::vector<std::unique_ptr<standin_upstream>> m_upstreams;
+    std::map<unsigned, child_process> m_nodes;
+};
+
+} // namespace test_support
--- a/tests/unit/platform/unit-decode.cpp
+++ b/tests/unit/platform/unit-decode.cpp
@@ -189,11 +189,16 @@
         CPPUNIT_ASSERT(read.m_callers == endpoint::parse("10.1.0.17:8363"));
         CPPUNIT_ASSERT(read.m_peers == endpoint::parse("10.1.0.17:8360"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.m_seeds.size());
-        CPPUNIT_ASSERT(read.m_key_freshness < 5s);
-        CPPUNIT_ASSERT(read.m_key_freshness > 3s);
         CPPUNIT_ASSERT((read.m_attempt_budget == forwarding::attempt_budget_settings{0.2, 56.0, 10s}));
         CPPUNIT_ASSERT((read.m_account_bound == account_bound{5s, 0.25, 20.0}));
-        CPPUNIT_ASSERT(decode_store_address(valid_settings) == endpoint::parse("10.200.1.7:8361"));
+        CPPUNIT_ASSERT(
+            (decode_store(valid_settings) == store_settings{endpoint::parse("10.200.1.7:8361"), 1200ms}));
+        CPPUNIT_ASSERT((read.m_key_freshness == 4700ms));
+        // a bound that is too short for long watches
+        const std::string strict =
+            replaced(valid_settings, "\"revokeTimeoutMs\":5000", "\"revokeTimeoutMs\":3000");
+        CPPUNIT_ASSERT((decode_settings(strict).m_key_freshness == 1700ms));
+        CPPUNIT_ASSERT((decode_store(strict).m_watch_time == 425ms));
     }
 
     void bad_settings_are_refused()
@@ -212,7 +217,7 @@
         {
             CPPUNIT_ASSERT_THROW_MESSAGE(text.substr(0, 60), (void)decode_settings(text), settings_error);
         }
-        CPPUNIT_ASSERT_THROW((void)decode_store_address(replaced(valid_settings, "10.200.1.7:8361", "store")),
+        CPPUNIT_ASSERT_THROW((void)decode_store(replaced(valid_settings, "10.200.1.7:8361", "store")),
                              settings_error);
     }
 };
