Add a randomized soak of real nodes; close inherited listeners

Change: soak-platform runs three nodes, a store and eight upstreams behind loopback proxies, and kills, stops, pauses nodes, silences the store, drops its history, delays, resets and silences links, withdraws a key and drains an upstream while six callers go on. It checks from their side and the upstreams': at most once, true refusals, own answers, stated coverage, withdrawn keys, draining, recovery.

Listening sockets are closed in programs that a process starts.

--- a/packages/runtime/src/caller_server.cpp
+++ b/packages/runtime/src/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "teasellead/runtime/caller_server.hpp"
 
+#include <fcntl.h>
 #include <vector>
 
 #include "caller_session.hpp"
@@ -22,6 +23,8 @@
     try
     {
         m_acceptor.open(tcp::v4());
+        // a process that is started later must not keep the address
+        ::fcntl(m_acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
         m_acceptor.set_option(tcp::acceptor::reuse_address{true});
         m_acceptor.bind(to_tcp(address));
         m_acceptor.listen();
--- a/tests/process/process-platform.cpp
+++ b/tests/process/process-platform.cpp
@@ -16,6 +16,7 @@
 using namespace test_support;
 
 constexpr unsigned net = 91;
+constexpr int caller_count = 8;
 
 std::size_t runs_of(const platform_fleet& fleet, const std::string& request_id)
 {
@@ -205,7 +206,8 @@
         std::atomic<int> cut{0};
         std::atomic<bool> is_over{false};
         std::vector<std::thread> callers;
-        for (int number = 0; number < 8; ++number)
+        callers.reserve(caller_count);
+        for (int number = 0; number < caller_count; ++number)
         {
             callers.emplace_back(
                 [&, number]
--- /dev/null
+++ b/tests/soak/soak-platform.cpp
@@ -0,0 +1,412 @@
+// randomized soak of real nodes over platform/
+//
+// soak-platform [--seed N] [--seeds COUNT] [--seconds S] [--net N]
+// Starts a store, upstreams behind proxies and three nodes, injects faults from outside, and checks the
+// promises from what callers and upstreams see. Prints the seed and the plan of a run that breaks one; exits
+// with 1 then.
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fault_proxy.hpp"
+#include "platform_fleet.hpp"
+#include "teasellead/kernel/random.hpp"
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace test_support;
+using teasellead::random_source;
+using steady = std::chrono::steady_clock;
+
+constexpr unsigned nodes = 3;
+constexpr unsigned callers = 6;
+constexpr auto calm_time = 7s;
+constexpr auto request_pause = 15ms;
+// from the time at which the store took a change until no new request may follow the older state
+constexpr auto drain_bound = 3s;
+constexpr auto pause_reserve = 500ms;
+
+/// what callers were told, and what they must not have been
+class promise_checker
+{
+  public:
+    void on_answer(const std::string& id, const std::string& method, unsigned status)
+    {
+        const std::scoped_lock lock{m_mutex};
+        m_answers[id] = {method, status};
+        ++m_total;
+        m_served += status == 200 ? 1 : 0;
+    }
+
+    void broken(const std::string& what)
+    {
+        const std::scoped_lock lock{m_mutex};
+        m_broken.push_back(what);
+    }
+
+    /// compares the answers with what upstreams ran
+    void compare(const platform_fleet& fleet)
+    {
+        std::map<std::string, int> runs;
+        for (const auto& upstream : fleet.upstreams())
+        {
+            for (const upstream_run& run : upstream->runs())
+            {
+                ++runs[run.m_request_id];
+                if (run.m_account != "school")
+                {
+                    broken(run.m_request_id + " ran for account \"" + run.m_account + "\"");
+                }
+            }
+        }
+        const std::scoped_lock lock{m_mutex};
+        for (const auto& [id, answer] : m_answers)
+        {
+            const int count = runs[id];
+            if (answer.m_method == "POST" && count > 1)
+            {
+                m_broken.push_back(id + " is not idempotent and ran " + std::to_string(count) + " times");
+            }
+            if ((answer.m_status == 429 || answer.m_status == 503) && count > 0)
+            {
+                m_broken.push_back(id + " was said not to have run, and ran");
+            }
+        }
+    }
+
+    [[nodiscard]] std::vector<std::string> all_broken() const
+    {
+        const std::scoped_lock lock{m_mutex};
+        return m_broken;
+    }
+
+    [[nodiscard]] std::pair<std::size_t, std::size_t> counts() const
+    {
+        const std::scoped_lock lock{m_mutex};
+        return {m_served, m_total};
+    }
+
+  private:
+    struct given_answer
+    {
+        std::string m_method;
+        unsigned m_status{0};
+    };
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, given_answer> m_answers;
+    std::vector<std::string> m_broken;
+    std::size_t m_served{0};
+    std::size_t m_total{0};
+};
+
+/// one run of a seed
+class soak_run
+{
+  public:
+    soak_run(std::uint64_t seed, std::chrono::seconds time, unsigned net)
+        : m_seed(seed), m_random(seed), m_time(time), m_fleet(net)
+    {
+        unsigned port = 9500;
+        for (const auto& upstream : m_fleet.upstreams())
+        {
+            const std::string listen = "127." + std::to_string(net) + ".0.3:" + std::to_string(port++);
+            const auto target = m_fleet.address_of(*upstream);
+            m_proxies.push_back(
+                std::make_unique<fault_proxy>(m_proxy_thread, teasellead::endpoint::parse(listen), target));
+            m_fleet.store().put("servers/" + upstream->instance(), upstream->entry("ready", 2, listen));
+            m_listens.push_back(listen);
+        }
+        for (unsigned node = 1; node <= nodes; ++node)
+        {
+            m_fleet.launch_node(node);
+        }
+        for (unsigned node = 1; node <= nodes; ++node)
+        {
+            m_fleet.wait_until_ready(node);
+        }
+    }
+
+    /// whether all promises were kept
+    bool run()
+    {
+        std::vector<std::thread> threads;
+        for (unsigned number = 0; number < callers; ++number)
+        {
+            threads.emplace_back([this, number] { call_repeatedly(number); });
+        }
+        const auto end = steady::now() + m_time;
+        while (steady::now() < end)
+        {
+            inject();
+            std::this_thread::sleep_for(std::chrono::milliseconds{100 + m_random.below(500)});
+        }
+        heal();
+        std::this_thread::sleep_for(calm_time - 2s);
+        const auto [served_before, total_before] = m_checker.counts();
+        std::this_thread::sleep_for(2s);
+        const auto [served, total] = m_checker.counts();
+        m_is_over = true;
+        for (std::thread& thread : threads)
+        {
+            thread.join();
+        }
+        check_recovery(served - served_before, total - total_before);
+        m_checker.compare(m_fleet);
+        check_drained();
+        return report(served, total);
+    }
+
+  private:
+    void call_repeatedly(unsigned number)
+    {
+        random_source random{m_seed * 1000 + number};
+        std::vector<std::unique_ptr<plain_caller>> connections;
+        for (unsigned node = 1; node <= nodes; ++node)
+        {
+            connections.push_back(std::make_unique<plain_caller>(m_fleet.callers_of(node)));
+        }
+        for (int request = 0; !m_is_over; ++request)
+        {
+            const std::string id = std::to_string(number) + "-" + std::to_string(request);
+            const std::uint64_t kind = random.below(10);
+            const std::string method = kind < 2 ? "POST" : "GET";
+            const std::string target = kind < 2 ? "/book/x" : (kind < 6 ? "/all/x" : "/read/x");
+            const bool uses_old_key = random.below(4) == 0;
+            const auto sent_at = steady::now();
+            const plain_answer answer = connections[random.below(nodes)]->call(
+                method, target, id, uses_old_key ? "key-2" : "key-1", 600ms);
+            m_checker.on_answer(id, method, uses_old_key && answer.m_status == 401 ? 401 : answer.m_status);
+            check_answer(id, target, answer, uses_old_key, sent_at);
+            std::this_thread::sleep_for(request_pause);
+        }
+    }
+
+    void check_answer(const std::string& id, const std::string& target, const plain_answer& answer,
+                      bool uses_old_key, steady::time_point sent_at)
+    {
+        if (answer.m_status == 200 && target != "/all/x" && answer.field("Request-Id") != id)
+        {
+            m_checker.broken(id + " was answered with " + answer.field("Request-Id"));
+        }
+        if (answer.m_status == 200 && target == "/all/x")
+        {
+            const auto signatures = answer.field("Shard-Stamps");
+            const auto parts = 1 + std::count(signatures.begin(), signatures.end(), ',');
+            const std::string missing = answer.field("Missing-Shards");
+            const auto stated = 3 - (missing.empty() ? 0 : std::stol(missing));
+            if (parts != stated || answer.m_body.size() != static_cast<std::size_t>(parts) * 16)
+            {
+                m_checker.broken(id + " states its coverage wrongly");
+            }
+        }
+        const auto withdrawn_at = m_withdrawn_at.load();
+        if (uses_old_key && answer.m_status == 200 && withdrawn_at != steady::time_point{} &&
+            sent_at > withdrawn_at + platform_fleet::revocation_bound)
+        {
+            m_checker.broken(id + " ran with a withdrawn key");
+        }
+    }
+
+    void inject()
+    {
+        constexpr std::uint64_t kinds = 9;
+        const unsigned node = 1 + static_cast<unsigned>(m_random.below(nodes));
+        switch (m_random.below(kinds))
+        {
+        case 0:
+            note("kill node " + std::to_string(node));
+            m_fleet.node(node).signal(SIGKILL);
+            restart(node);
+            return;
+        case 1:
+            note("terminate node " + std::to_string(node));
+            m_fleet.node(node).signal(SIGTERM);
+            restart(node);
+            return;
+        case 2:
+        {
+            const auto time = std::chrono::milliseconds{100 + m_random.below(3000)};
+            note("pause node " + std::to_string(node) + " for " + std::to_string(time.count()) + " ms");
+            m_fleet.node(node).signal(SIGSTOP);
+            std::this_thread::sleep_for(time);
+            m_fleet.node(node).signal(SIGCONT);
+            return;
+        }
+        case 3:
+            note("store mode");
+            m_fleet.store().set_mode(static_cast<store_mode>(m_random.below(3)));
+            return;
+        case 4:
+            note("store drops its history");
+            m_fleet.store().drop_history();
+            return;
+        case 5:
+            withdraw_key();
+            return;
+        case 6:
+            drain_one();
+            return;
+        default:
+        {
+            const std::size_t link = m_random.below(m_proxies.size());
+            const auto fault = static_cast<link_fault>(m_random.below(5));
+            note("link " + std::to_string(link) + " fault " + std::to_string(static_cast<int>(fault)));
+            m_proxies[link]->set_fault(fault);
+            return;
+        }
+        }
+    }
+
+    void restart(unsigned node)
+    {
+        m_fleet.node(node).wait();
+        m_fleet.forget_node(node);
+        m_fleet.launch_node(node);
+    }
+
+    void withdraw_key()
+    {
+        if (m_withdrawn_at.load() == steady::time_point{})
+        {
+            note("withdraw a key");
+            m_fleet.publish(2, {"key-1"});
+            m_withdrawn_at = steady::now();
+        }
+    }
+
+    /// drains the second replica of the first shard
+    void drain_one()
+    {
+        if (m_drained_at == steady::time_point{})
+        {
+            note("drain an upstream");
+            const standin_upstream& leaving = *m_fleet.upstreams()[1];
+            m_fleet.store().put("servers/" + leaving.instance(), leaving.entry("draining", 3, m_listens[1]));
+            m_drained_at = steady::now();
+        }
+    }
+
+    void heal()
+    {
+        note("heal");
+        m_fleet.store().set_mode(store_mode::up);
+        for (const auto& proxy : m_proxies)
+        {
+            proxy->set_fault(link_fault::none);
+        }
+        m_healed_at = steady::now();
+    }
+
+    /// nodes that reach the store send nothing to a draining upstream after the bound
+    void check_drained()
+    {
+        if (m_drained_at == steady::time_point{})
+        {
+            return;
+        }
+        const auto from = std::max(m_drained_at, m_healed_at) + drain_bound + pause_reserve;
+        for (const upstream_run& run : m_fleet.upstreams()[1]->runs())
+        {
+            if (run.m_at > from)
+            {
+                m_checker.broken(run.m_request_id + " reached a drained upstream");
+            }
+        }
+    }
+
+    void check_recovery(std::size_t served, std::size_t total)
+    {
+        // a quarter of the requests bears the key that may be withdrawn
+        if (total == 0 || served * 100 < total * 60)
+        {
+            m_checker.broken("served " + std::to_string(served) + " of " + std::to_string(total) +
+                             " after the faults");
+        }
+    }
+
+    void note(const std::string& what)
+    {
+        const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - m_began);
+        m_plan.push_back(std::to_string(at.count()) + " ms: " + what);
+    }
+
+    bool report(std::size_t served, std::size_t total)
+    {
+        const auto broken = m_checker.all_broken();
+        std::cout << "seed " << m_seed << ": " << served << " of " << total << " served, " << broken.size()
+                  << " promises broken\n";
+        if (broken.empty())
+        {
+            return true;
+        }
+        for (const std::string& line : m_plan)
+        {
+            std::cout << "  " << line << '\n';
+        }
+        for (const std::string& line : broken)
+        {
+            std::cout << "  broken: " << line << '\n';
+        }
+        return false;
+    }
+
+    std::uint64_t m_seed;
+    random_source m_random;
+    std::chrono::seconds m_time;
+    platform_fleet m_fleet;
+    loop_thread m_proxy_thread;
+    std::vector<std::unique_ptr<fault_proxy>> m_proxies;
+    std::vector<std::string> m_listens;
+    promise_checker m_checker;
+    std::atomic<bool> m_is_over{false};
+    std::atomic<steady::time_point> m_withdrawn_at{steady::time_point{}};
+    steady::time_point m_drained_at{};
+    steady::time_point m_healed_at{};
+    steady::time_point m_began{steady::now()};
+    std::vector<std::string> m_plan;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        cxxopts::Options options{"soak-platform", "randomized soak of nodes over platform/"};
+        options.add_options()("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+            "seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
+            "seconds", "time with faults of each seed", cxxopts::value<int>()->default_value("10"))(
+            "net", "second byte of all addresses", cxxopts::value<unsigned>()->default_value("92"));
+        const auto wanted = options.parse(argc, argv);
+        const auto first = wanted["seed"].as<std::uint64_t>();
+        const auto seeds = wanted["seeds"].as<std::uint64_t>();
+        std::uint64_t failed = 0;
+        for (std::uint64_t seed = first; seed < first + seeds; ++seed)
+        {
+            failed += soak_run{seed, std::chrono::seconds{wanted["seconds"].as<int>()},
+                               wanted["net"].as<unsigned>()}
+                              .run()
+                          ? 0
+                          : 1;
+        }
+        std::cout << seeds - failed << " passed, " << failed << " failed\n";
+        return failed == 0 ? 0 : 1;
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+}
--- a/tests/support/platform_fleet.hpp
+++ b/tests/support/platform_fleet.hpp
@@ -54,6 +54,12 @@
         return m_upstreams;
     }
 
+    /// where an upstream listens
+    [[nodiscard]] static teasellead::endpoint address_of(const standin_upstream& upstream)
+    {
+        return upstream.address();
+    }
+
     /// everything that a node has written
     [[nodiscard]] std::string output_of(unsigned number) const;
 
--- a/tests/support/platform_standins.hpp
+++ b/tests/support/platform_standins.hpp
@@ -155,6 +155,11 @@
         return m_instance;
     }
 
+    [[nodiscard]] const teasellead::endpoint& address() const noexcept
+    {
+        return m_address;
+    }
+
     [[nodiscard]] const std::string& service() const noexcept
     {
         return m_service;
