--- a/packages/ctl/include/teasellead/ctl/commands.hpp
+++ b/packages/ctl/include/teasellead/ctl/commands.hpp
@@ -65,6 +65,15 @@
 */
 [[nodiscard]] exit_code run_replay(const command_arguments& arguments, std::ostream& output);
 
+/*!
+@brief `explain ID LOG...`: says how a request ended, from the logs of nodes
+
+@return @ref exit_code::failure if no log has a line about it
+
+@throw settings_error 205 if a file can't be read
+*/
+[[nodiscard]] exit_code run_explain(const command_arguments& arguments, std::ostream& output);
+
 /*!
 @brief `report IP:PORT...`: reads and prints the reports of nodes
 
--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -19,6 +19,7 @@
   key ID CLIENT-ACCOUNT        makes a key: prints the secret and its lines for the services text
   fleet-key                    makes the key pair of a fleet: prints two environment variables
   replay TRACE...              replays traces of decisions and compares their outcomes
+  explain ID LOG...            says how a request ended, from the logs of nodes on the platform
   report IP:PORT...            prints how services and client accounts are served; the arguments are
                                the operator addresses of nodes
 )";
@@ -38,6 +39,7 @@
                               command{"key", 2, 2, run_key},
                               command{"fleet-key", 0, 0, run_fleet_key},
                               command{"replay", 1, any_number, run_replay},
+                              command{"explain", 2, any_number, run_explain},
                               command{"report", 1, any_number, run_report}};
 
 exit_code dispatch(const command_arguments& arguments, std::ostream& output, std::ostream& errors)
--- /dev/null
+++ b/packages/ctl/src/explain.cpp
@@ -0,0 +1,234 @@
+#include "teasellead/ctl/explain.hpp"
+
+#include <array>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <string_view>
+
+#include "teasellead/ctl/commands.hpp"
+#include "teasellead/kernel/exceptions.hpp"
+
+namespace teasellead
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int unreadable_file_id = 205;
+
+struct reason_text
+{
+    std::string_view m_reason;
+    std::string_view m_text;
+};
+
+constexpr std::array reasons{
+    reason_text{"", "it was answered as asked"},
+    reason_text{"over_limit", "its account had used up its limit over all nodes; it didn't run"},
+    reason_text{"unknown_key", "no account of the configuration in force holds its key; it didn't run"},
+    reason_text{"unknown_route",
+                "the configuration in force has no route for its host and path; it didn't run"},
+    reason_text{"no_configuration", "the node hadn't read a configuration yet; it didn't run"},
+    reason_text{"configuration_too_old",
+                "the node couldn't prove that its configuration, and so the key, was current; it didn't run"},
+    reason_text{"no_request_id", "it bore no request id; it didn't run"},
+    reason_text{"no_upstream",
+                "no upstream that it needs could be used: all had left, were evacuated or had failed"},
+    reason_text{"overloaded", "no upstream had room within the time that a request may wait"},
+    reason_text{"upstreams_failed", "its attempts failed, and no further one was allowed or affordable"},
+    reason_text{"timed_out", "its time was over before enough upstreams had answered"},
+    reason_text{"upstream_status", "the upstream itself answered with this status"},
+    reason_text{"caller_gone", "the caller closed its connection before the answer"},
+};
+
+/// events that tell what a node believes
+constexpr std::array<std::string_view, 8> belief_events{"started",
+                                                        "configuration",
+                                                        "configuration_fresh",
+                                                        "configuration_too_old",
+                                                        "source_lost",
+                                                        "source_regained",
+                                                        "nodes",
+                                                        "stopping"};
+
+std::string text_of(const json& line, const char* name)
+{
+    const auto found = line.find(name);
+    if (found == line.end())
+    {
+        return "?";
+    }
+    return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+std::string missing_shards_of(const json& line)
+{
+    const auto found = line.find("missing_shards");
+    const bool is_named =
+        found != line.end() && found->is_string() && !found->get_ref<const std::string&>().empty();
+    return is_named ? " (" + found->get<std::string>() + ")" : "";
+}
+
+std::string_view meaning_of(const std::string& reason)
+{
+    for (const reason_text& each : reasons)
+    {
+        if (each.m_reason == reason)
+        {
+            return each.m_text;
+        }
+    }
+    return "the reason isn't known to this program";
+}
+
+/// what one node's log says of a request
+class node_story
+{
+  public:
+    node_story(std::string name, std::string request_id)
+        : m_name(std::move(name)), m_request_id(std::move(request_id))
+    {
+    }
+
+    void add(const json& line)
+    {
+        const std::string event = text_of(line, "event");
+        if (event == "started")
+        {
+            m_name = text_of(line, "node");
+        }
+        if (event == "request" && text_of(line, "request_id") == m_request_id)
+        {
+            describe(line);
+            return;
+        }
+        if (event == "attempt_failed" && text_of(line, "request_id") == m_request_id)
+        {
+            m_attempts += "  attempt " + text_of(line, "attempt") + " at " + text_of(line, "instance") +
+                          " of " + text_of(line, "service") + ": " + text_of(line, "failure") + ".\n";
+            return;
+        }
+        for (const std::string_view each : belief_events)
+        {
+            if (each == event)
+            {
+                m_beliefs[event] = line;
+            }
+        }
+    }
+
+    [[nodiscard]] std::string text() const
+    {
+        return m_text.str();
+    }
+
+  private:
+    void describe(const json& line)
+    {
+        const std::string reason = text_of(line, "reason");
+        m_text << m_name << ": request " << m_request_id << " ended as " << text_of(line, "outcome")
+               << " with status " << text_of(line, "status") << " after " << text_of(line, "latency_ms")
+               << " ms, at " << text_of(line, "time") << ".\n"
+               << "  why: " << (reason.empty() ? "" : reason + ": ") << meaning_of(reason) << ".\n"
+               << "  route " << text_of(line, "route") << ", account " << text_of(line, "account") << ", "
+               << text_of(line, "attempts") << " attempts, " << text_of(line, "missing") << " shards missing"
+               << missing_shards_of(line) << ".\n"
+               << m_attempts << "  decided by configuration " << text_of(line, "version")
+               << ", known to be current " << text_of(line, "version_age_ms") << " ms before.\n";
+        for (const auto& [event, belief] : m_beliefs)
+        {
+            m_text << "  before: " << text_of(belief, "time") << " " << event << fields_of(belief) << "\n";
+        }
+    }
+
+    static std::string fields_of(const json& line)
+    {
+        std::string result;
+        for (const auto& [name, value] : line.items())
+        {
+            if (name != "time" && name != "level" && name != "event")
+            {
+                result += " " + name + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+            }
+        }
+        return result;
+    }
+
+    std::string m_name;
+    std::string m_request_id;
+    std::string m_attempts; ///< its failed attempts so far
+    std::map<std::string, json> m_beliefs;
+    std::ostringstream m_text;
+};
+
+/// the JSON object of a line, which may stand behind a prefix
+std::optional<json> object_of(const std::string& line)
+{
+    const auto begin = line.find('{');
+    if (begin == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    json parsed = json::parse(line.substr(begin), nullptr, false);
+    return parsed.is_object() ? std::optional<json>{std::move(parsed)} : std::nullopt;
+}
+
+node_log read_log(const std::string& path)
+{
+    std::ifstream file{path};
+    if (!file)
+    {
+        throw settings_error(unreadable_file_id, "file \"" + path + "\" can't be read");
+    }
+    node_log log{path, {}};
+    for (std::string line; std::getline(file, line);)
+    {
+        log.m_lines.push_back(line);
+    }
+    return log;
+}
+
+} // namespace
+
+std::string explain_request(const std::string& request_id, const std::vector<node_log>& logs)
+{
+    std::string result;
+    for (const node_log& log : logs)
+    {
+        node_story story{log.m_name, request_id};
+        for (const std::string& line : log.m_lines)
+        {
+            if (const auto object = object_of(line))
+            {
+                story.add(*object);
+            }
+        }
+        result += story.text();
+    }
+    return result;
+}
+
+exit_code run_explain(const command_arguments& arguments, std::ostream& output)
+{
+    std::vector<node_log> logs;
+    for (std::size_t i = 1; i < arguments.size(); ++i)
+    {
+        logs.push_back(read_log(arguments[i]));
+    }
+    const std::string text = explain_request(arguments.front(), logs);
+    if (text.empty())
+    {
+        output << "no line about request " << arguments.front()
+               << "; lines_left_out in the logs counts those that were not written\n";
+        return exit_code::failure;
+    }
+    output << text;
+    return exit_code::ok;
+}
+
+} // namespace teasellead
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -23,6 +23,7 @@
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
 constexpr int no_deployment_id = 212;
+constexpr const char* check_settings_flag = "--check-settings";
 constexpr const char* deployment_settings_variable = "TEASELLEAD_SETTINGS";
 
 std::optional<std::string> read_environment(const std::string& name)
@@ -40,11 +41,9 @@
     return signals;
 }
 
-/// serves a deployment whose adapter reads its own settings file
-int run_deployment(const std::string& settings_path)
+std::unique_ptr<teasellead::runtime::deployment> make_deployment(const std::string& settings_path)
 {
     using namespace teasellead::runtime;
-    std::signal(SIGPIPE, SIG_IGN);
     const auto names = teasellead::registry<deployment_factory>::instance().names();
     if (names.empty())
     {
@@ -52,7 +51,23 @@
                                          "this program was built without a deployment adapter");
     }
     const auto make = teasellead::registry<deployment_factory>::instance().create(names.front());
-    const std::unique_ptr<deployment> platform = make(settings_path);
+    return make(settings_path);
+}
+
+int check_settings(const std::string& settings_path)
+{
+    const auto platform = make_deployment(settings_path);
+    std::cout << "valid: node " << platform->settings().m_name << " in data centre "
+              << platform->settings().m_data_centre << '\n';
+    return exit_ok;
+}
+
+/// serves a deployment whose adapter reads its own settings file
+int run_deployment(const std::string& settings_path)
+{
+    using namespace teasellead::runtime;
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::unique_ptr<deployment> platform = make_deployment(settings_path);
     teasellead::decision_log log{teasellead::log_format::json, teasellead::log_level::info,
                                  teasellead::log_target::standard_output};
     forwarding_node node{*platform, log};
@@ -79,6 +94,10 @@
     {
         const std::vector<std::string> arguments{argv + 1, argv + argc};
         const auto settings_path = read_environment(deployment_settings_variable);
+        if (arguments.size() == 2 && arguments.front() == check_settings_flag)
+        {
+            return check_settings(arguments.back());
+        }
         if (arguments.empty() && settings_path)
         {
             return run_deployment(*settings_path);
--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -81,8 +81,9 @@
 struct gathered
 {
     std::vector<upstream_reply> m_parts;
-    std::size_t m_missing{0}; ///< shards without a part
-    std::size_t m_top{0};     ///< records of the answer
+    std::size_t m_missing{0};     ///< shards without a part
+    std::string m_missing_shards; ///< the same with reasons, for logs
+    std::size_t m_top{0};         ///< records of the answer
 
     friend bool operator==(const gathered&, const gathered&) = default;
 };
@@ -206,6 +207,12 @@
         return m_result || m_legs.at(m_attempts.at(attempt).m_leg).m_state != leg_state::open;
     }
 
+    /// the upstream of an attempt
+    [[nodiscard]] const upstream& upstream_of(attempt_number attempt) const
+    {
+        return *m_attempts.at(attempt).m_upstream;
+    }
+
     /// number of attempts that were handed to the driver
     [[nodiscard]] std::size_t attempts() const noexcept
     {
@@ -255,6 +262,7 @@
     void conclude_scatter(time_point now, actions& result);
     void finish(dispatch_result outcome, actions& result);
     [[nodiscard]] verdict current_verdict() const noexcept;
+    [[nodiscard]] std::string describe_missing() const;
     [[nodiscard]] unanswered no_answer(failure_reason reason) const;
     [[nodiscard]] duration hedge_delay() const;
     [[nodiscard]] bool may_repeat() const noexcept
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -430,6 +430,7 @@
     if (is_covered && is_done)
     {
         gathered outcome;
+        outcome.m_missing_shards = describe_missing();
         for (leg& each : m_legs)
         {
             if (each.m_state == leg_state::answered)
@@ -450,6 +451,23 @@
     }
 }
 
+std::string dispatch::describe_missing() const
+{
+    std::string result;
+    for (std::size_t i = 0; i < m_legs.size(); ++i)
+    {
+        if (m_legs[i].m_state == leg_state::answered)
+        {
+            continue;
+        }
+        const bool is_open = m_legs[i].m_state == leg_state::open;
+        result += result.empty() ? "" : ",";
+        result += m_request.m_services[i] + ":";
+        result += is_open ? "slow" : std::string{to_string(m_legs[i].m_reason)};
+    }
+    return result;
+}
+
 void dispatch::finish(dispatch_result outcome, actions& result)
 {
     m_result = std::move(outcome);
--- a/packages/runtime/include/teasellead/runtime/request_driver.hpp
+++ b/packages/runtime/include/teasellead/runtime/request_driver.hpp
@@ -62,6 +62,7 @@
     void execute(const std::vector<forwarding::dispatch_action>& actions);
     void send(const forwarding::send_attempt& action);
     void release(forwarding::attempt_number attempt);
+    void log_failure(forwarding::attempt_number attempt, forwarding::attempt_failure failure);
     void on_end(forwarding::attempt_number attempt, exchange_result result);
     void on_timer();
     void arm();
--- a/packages/runtime/include/teasellead/runtime/request_log.hpp
+++ b/packages/runtime/include/teasellead/runtime/request_log.hpp
@@ -24,6 +24,7 @@
     duration m_latency{duration::zero()};
     std::size_t m_attempts{0};
     std::size_t m_missing{0};                 ///< shards without a part
+    std::string_view m_missing_shards;        ///< which, and why
     std::uint64_t m_version{0};               ///< of the declarations that decided
     duration m_version_age{duration::zero()}; ///< time since they were known to be current
 };
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -44,9 +44,18 @@
     }
     m_is_answered = true;
     const time_point now = m_environment.m_clock.now();
-    m_environment.m_log.add({m_request.m_terms.m_request_id, m_request.m_route->m_name, m_request.m_account,
-                             "caller_gone", "caller_gone", 0, now - m_began, m_dispatch.attempts(), 0,
-                             m_request.m_table->version(), m_environment.m_freshness.age(now)});
+    m_environment.m_log.add({m_request.m_terms.m_request_id,
+                             m_request.m_route->m_name,
+                             m_request.m_account,
+                             "caller_gone",
+                             "caller_gone",
+                             0,
+                             now - m_began,
+                             m_dispatch.attempts(),
+                             0,
+                             {},
+                             m_request.m_table->version(),
+                             m_environment.m_freshness.age(now)});
     execute(m_dispatch.cancel());
 }
 
@@ -117,22 +126,39 @@
     }
 }
 
+void request_driver::log_failure(forwarding::attempt_number attempt, forwarding::attempt_failure failure)
+{
+    const forwarding::upstream& target = m_dispatch.upstream_of(attempt);
+    m_environment.m_log.write(log_level::warning, "attempt_failed",
+                              {{"request_id", m_request.m_terms.m_request_id},
+                               {"attempt", std::uint64_t{attempt}},
+                               {"service", target.entry().m_service},
+                               {"instance", target.entry().m_instance},
+                               {"failure", forwarding::to_string(failure)},
+                               {"failure_ratio", target.failure_ratio()}});
+}
+
 void request_driver::on_end(forwarding::attempt_number attempt, exchange_result result)
 {
     m_running.erase(attempt);
     const time_point now = m_environment.m_clock.now();
+    attempt_outcome outcome = forwarding::attempt_failure::broken;
     if (auto* response = std::get_if<received_response>(&result))
     {
-        attempt_outcome outcome = m_environment.m_protocol.read_response(std::move(*response));
-        if (auto* reply = std::get_if<forwarding::upstream_reply>(&outcome))
-        {
-            execute(m_dispatch.on_reply(attempt, std::move(*reply), now));
-            return;
-        }
-        execute(m_dispatch.on_failure(attempt, std::get<forwarding::attempt_failure>(outcome), now));
+        outcome = m_environment.m_protocol.read_response(std::move(*response));
+    }
+    else
+    {
+        outcome = std::get<forwarding::attempt_failure>(result);
+    }
+    if (auto* reply = std::get_if<forwarding::upstream_reply>(&outcome))
+    {
+        execute(m_dispatch.on_reply(attempt, std::move(*reply), now));
         return;
     }
-    execute(m_dispatch.on_failure(attempt, std::get<forwarding::attempt_failure>(result), now));
+    const auto failure = std::get<forwarding::attempt_failure>(outcome);
+    log_failure(attempt, failure);
+    execute(m_dispatch.on_failure(attempt, failure, now));
 }
 
 void request_driver::arm()
@@ -236,8 +262,9 @@
     const auto* const parts = std::get_if<forwarding::gathered>(&m_dispatch.result());
     m_environment.m_log.add({m_request.m_terms.m_request_id, m_request.m_route->m_name, m_request.m_account,
                              outcome, reason, response.m_status, now - m_began, m_dispatch.attempts(),
-                             parts == nullptr ? 0 : parts->m_missing, m_request.m_table->version(),
-                             m_environment.m_freshness.age(now)});
+                             parts == nullptr ? 0 : parts->m_missing,
+                             parts == nullptr ? std::string_view{} : parts->m_missing_shards,
+                             m_request.m_table->version(), m_environment.m_freshness.age(now)});
     m_linger_until = std::min(m_linger_until, now + linger_time);
     m_respond(std::move(response));
 }
--- a/packages/runtime/src/request_intake.cpp
+++ b/packages/runtime/src/request_intake.cpp
@@ -135,9 +135,18 @@
                             const respond_function& respond)
 {
     const time_point now = m_environment.m_clock.now();
-    m_environment.m_log.add({request_id, rejected.m_route, rejected.m_account, "refused", rejected.m_reason,
-                             rejected.m_response.m_status, duration::zero(), 0, 0,
-                             m_table ? m_table->version() : 0, m_environment.m_freshness.age(now)});
+    m_environment.m_log.add({request_id,
+                             rejected.m_route,
+                             rejected.m_account,
+                             "refused",
+                             rejected.m_reason,
+                             rejected.m_response.m_status,
+                             duration::zero(),
+                             0,
+                             0,
+                             {},
+                             m_table ? m_table->version() : 0,
+                             m_environment.m_freshness.age(now)});
     respond(rejected.m_response);
 }
 
--- a/packages/runtime/src/request_log.cpp
+++ b/packages/runtime/src/request_log.cpp
@@ -80,6 +80,7 @@
                  {"latency_ms", latency_ms},
                  {"attempts", std::uint64_t{entry.m_attempts}},
                  {"missing", std::uint64_t{entry.m_missing}},
+                 {"missing_shards", entry.m_missing_shards},
                  {"version", entry.m_version},
                  {"version_age_ms", milliseconds_of(entry.m_version_age)}});
 }
--- /dev/null
+++ b/tests/unit/ctl/unit-explain.cpp
@@ -0,0 +1,118 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "teasellead/ctl/explain.hpp"
+
+namespace
+{
+
+using namespace teasellead;
+
+const std::string started =
+    R"({"time":"2026-09-27T04:41:35.0Z","level":"info","event":"started","node":"front-q1-2"})";
+const std::string source_lost =
+    R"({"time":"2026-09-27T04:41:40.0Z","level":"warning","event":"source_lost","reason":"no answer"})";
+const std::string too_old =
+    R"({"time":"2026-09-27T04:41:44.0Z","level":"warning","event":"configuration_too_old","age_ms":4738})";
+
+std::string request_line(const std::string& id, const std::string& outcome, const std::string& reason,
+                         int status)
+{
+    return R"({"time":"2026-09-27T04:41:46.0Z","level":"warning","event":"request","request_id":")" + id +
+           R"(","route":"r-1","account":"school","outcome":")" + outcome + R"(","reason":")" + reason +
+           R"(","status":)" + std::to_string(status) +
+           R"(,"latency_ms":12.5,"attempts":3,"missing":1,"version":7,"version_age_ms":4801.5})";
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+class explain_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(explain_test);
+    CPPUNIT_TEST(says_how_each_kind_of_failure_ended);
+    CPPUNIT_TEST(tells_what_the_node_believed_before);
+    CPPUNIT_TEST(reads_logs_of_several_nodes);
+    CPPUNIT_TEST(names_failed_attempts_and_missing_shards);
+    CPPUNIT_TEST(passes_over_what_is_no_log_line);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void says_how_each_kind_of_failure_ended()
+    {
+        struct row
+        {
+            std::string m_outcome;
+            std::string m_reason;
+            int m_status;
+            std::string m_text;
+        };
+        const std::vector<row> rows{
+            {"refused", "over_limit", 429, "had used up its limit"},
+            {"gathered", "", 200, "1 shards missing"},
+            {"failed", "timed_out", 504, "its time was over"},
+            {"failed", "upstreams_failed", 502, "its attempts failed"},
+            {"refused", "later_reason", 503, "isn't known"},
+        };
+        for (const row& each : rows)
+        {
+            const std::string text = explain_request(
+                "9c", {{"a.log", {request_line("9c", each.m_outcome, each.m_reason, each.m_status)}}});
+            CPPUNIT_ASSERT_MESSAGE(text, contains(text, each.m_text));
+            CPPUNIT_ASSERT(contains(text, "status " + std::to_string(each.m_status)));
+            CPPUNIT_ASSERT(contains(text, "configuration 7"));
+        }
+    }
+
+    void tells_what_the_node_believed_before()
+    {
+        const std::string text = explain_request(
+            "9c",
+            {{"a.log",
+              {started, source_lost, too_old, request_line("9c", "refused", "configuration_too_old", 503),
+               R"({"time":"2026-09-27T04:42:00.0Z","event":"source_regained"})"}}});
+        CPPUNIT_ASSERT(contains(text, "front-q1-2: request 9c"));
+        CPPUNIT_ASSERT(contains(text, "source_lost reason=no answer"));
+        CPPUNIT_ASSERT(contains(text, "configuration_too_old age_ms=4738"));
+        CPPUNIT_ASSERT(!contains(text, "source_regained"));
+    }
+
+    void reads_logs_of_several_nodes()
+    {
+        const std::string text =
+            explain_request("9c", {{"a.log", {request_line("9c", "refused", "over_limit", 429)}},
+                                   {"b.log", {request_line("9d", "gathered", "", 200)}},
+                                   {"c.log", {request_line("9c", "gathered", "", 200)}}});
+        CPPUNIT_ASSERT(contains(text, "a.log: request 9c"));
+        CPPUNIT_ASSERT(!contains(text, "b.log"));
+        CPPUNIT_ASSERT(contains(text, "c.log: request 9c"));
+    }
+
+    void names_failed_attempts_and_missing_shards()
+    {
+        const std::string failed =
+            R"({"event":"attempt_failed","request_id":"9c","attempt":4,"service":"net",)"
+            R"("instance":"i-7","failure":"shed"})";
+        std::string partial = request_line("9c", "gathered", "", 200);
+        partial.insert(partial.size() - 1, R"(,"missing_shards":"net:slow")");
+        const std::string text = explain_request("9c", {{"a.log", {failed, partial}}});
+        CPPUNIT_ASSERT(contains(text, "attempt 4 at i-7 of net: shed"));
+        CPPUNIT_ASSERT(contains(text, "1 shards missing (net:slow)"));
+    }
+
+    void passes_over_what_is_no_log_line()
+    {
+        const std::vector<std::string> lines{"", "text", "{\"broken\":", "[1]",
+                                             "  1.0 front-q1-2 " + request_line("9c", "gathered", "", 200)};
+        CPPUNIT_ASSERT(contains(explain_request("9c", {{"a.log", lines}}), "ended as gathered"));
+        CPPUNIT_ASSERT(explain_request("9e", {{"a.log", lines}}).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(explain_test);
+
+} // namespace
