--- /dev/null
+++ b/tests/unit/runtime/unit-client-connection.cpp
@@ -0,0 +1,205 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "platform_standins.hpp"
+#include "teasellead/runtime/client_connection.hpp"
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using namespace teasellead;
+using namespace teasellead::runtime;
+using forwarding::attempt_failure;
+using test_support::loop_thread;
+
+const endpoint server_address = endpoint::parse("127.95.0.2:8080");
+
+/// how a server of the test ends its connection
+enum class ending
+{
+    kept,
+    closed,
+    reset
+};
+
+class client_connection_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(client_connection_test);
+    CPPUNIT_TEST(responses_and_what_is_left_of_the_connection);
+    CPPUNIT_TEST(refused_connection_proves_that_nothing_ran);
+    CPPUNIT_TEST(forbidden_request_is_never_sent);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void responses_and_what_is_left_of_the_connection()
+    {
+        struct row
+        {
+            std::string m_name;
+            std::string m_bytes;
+            ending m_ending;
+            std::string m_body; ///< empty if the exchange fails
+            bool m_is_kept;
+        };
+        const std::string own = "Request-Id: own\r\n";
+        const std::vector<row> rows{
+            {"whole", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 4\r\n\r\nbody", ending::kept, "body",
+             true},
+            {"chunked",
+             "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+             ending::kept, "body", true},
+            {"asked to close",
+             "HTTP/1.1 200 OK\r\n" + own + "Connection: close\r\nContent-Length: 4\r\n\r\nbody", ending::kept,
+             "body", false},
+            {"ends with its connection", "HTTP/1.1 200 OK\r\n" + own + "\r\nbody", ending::closed, "body",
+             false},
+            {"ends with a reset", "HTTP/1.1 200 OK\r\n" + own + "\r\nbody", ending::reset, "", false},
+            {"truncated", "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 9\r\n\r\nbody", ending::closed, "",
+             false},
+            {"truncated chunk", "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n9\r\nbody",
+             ending::closed, "", false},
+            {"no response", "", ending::closed, "", false},
+            {"no HTTP", "what is this\r\n\r\n", ending::kept, "", false},
+            {"another's first",
+             "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 5\r\n\r\nalien"
+             "HTTP/1.1 200 OK\r\n" +
+                 own + "Content-Length: 4\r\n\r\nbody",
+             ending::kept, "body", true},
+            {"interim first",
+             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + own + "Content-Length: 4\r\n\r\nbody",
+             ending::kept, "body", true},
+            {"bytes behind it",
+             "HTTP/1.1 200 OK\r\n" + own +
+                 "Content-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+             ending::kept, "body", false},
+        };
+        for (const row& each : rows)
+        {
+            loop_thread thread;
+            std::promise<exchange_result> ended;
+            std::shared_ptr<client_connection> connection;
+            std::thread server = serve(each.m_bytes, each.m_ending);
+            thread.run(
+                [&]
+                {
+                    connection =
+                        std::make_shared<client_connection>(thread.loop(), m_clock, server_address, 500ms);
+                    connection->start(exchange_of([&ended](exchange_result result)
+                                                  { ended.set_value(std::move(result)); }));
+                });
+            const exchange_result result = ended.get_future().get();
+            bool is_kept = false;
+            thread.run(
+                [&]
+                {
+                    is_kept = connection->is_idle();
+                    connection->close();
+                });
+            server.join();
+            const auto* const received = std::get_if<received_response>(&result);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_name, each.m_body,
+                                         received == nullptr ? std::string{} : received->m_response.m_body);
+            CPPUNIT_ASSERT(received != nullptr ||
+                           std::get<attempt_failure>(result) == attempt_failure::broken);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_name, each.m_is_kept, is_kept);
+        }
+    }
+
+    void refused_connection_proves_that_nothing_ran()
+    {
+        loop_thread thread;
+        std::promise<exchange_result> ended;
+        thread.run(
+            [&]
+            {
+                const auto connection = std::make_shared<client_connection>(
+                    thread.loop(), m_clock, endpoint::parse("127.95.0.2:8099"), 500ms);
+                connection->start(
+                    exchange_of([&ended](exchange_result result) { ended.set_value(std::move(result)); }));
+            });
+        CPPUNIT_ASSERT(std::get<attempt_failure>(ended.get_future().get()) == attempt_failure::not_connected);
+    }
+
+    void forbidden_request_is_never_sent()
+    {
+        loop_thread thread;
+        std::promise<exchange_result> ended;
+        std::shared_ptr<client_connection> connection;
+        std::thread server = serve("", ending::kept);
+        thread.run(
+            [&]
+            {
+                connection =
+                    std::make_shared<client_connection>(thread.loop(), m_clock, server_address, 500ms);
+                exchange next =
+                    exchange_of([&ended](exchange_result result) { ended.set_value(std::move(result)); });
+                next.m_may_send = []
+                {
+                    return false;
+                };
+                connection->start(std::move(next));
+            });
+        const exchange_result result = ended.get_future().get();
+        thread.run([&] { connection->close(); });
+        server.join();
+        CPPUNIT_ASSERT(std::get<attempt_failure>(result) == attempt_failure::not_sent);
+        CPPUNIT_ASSERT(m_received.empty());
+    }
+
+  private:
+    static exchange exchange_of(std::function<void(exchange_result)> on_end)
+    {
+        exchange next;
+        next.m_bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        next.m_is_own = [](const http_response& response)
+        {
+            return find_field(response.m_fields, "request-id").value_or("own") == "own";
+        };
+        next.m_on_end = std::move(on_end);
+        return next;
+    }
+
+    /// accepts one connection, reads a request, answers with bytes and ends as told
+    std::thread serve(const std::string& bytes, ending end)
+    {
+        auto loop = std::make_shared<asio::io_context>();
+        auto acceptor = std::make_shared<tcp::acceptor>(*loop, to_tcp(server_address), true);
+        m_received.clear();
+        return std::thread{[this, loop, acceptor, bytes, end]
+                           {
+                               tcp::socket socket{*loop};
+                               acceptor->accept(socket);
+                               boost::system::error_code ignored; // the client may close first
+                               asio::read_until(socket, asio::dynamic_buffer(m_received), "\r\n\r\n",
+                                                ignored);
+                               asio::write(socket, asio::buffer(bytes), ignored);
+                               if (end == ending::kept)
+                               {
+                                   std::string rest;
+                                   asio::read(socket, asio::dynamic_buffer(rest), ignored);
+                               }
+                               if (end == ending::reset)
+                               {
+                                   // the bytes must arrive before the reset
+                                   std::this_thread::sleep_for(50ms);
+                                   socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+                                   socket.close(ignored);
+                               }
+                           }};
+    }
+
+    system_monotonic_clock m_clock;
+    std::string m_received;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(client_connection_test);
+
+} // namespace
