--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -13,6 +13,7 @@
 #include "teasellead/forwarding/attempt_budget.hpp"
 #include "teasellead/forwarding/route.hpp"
 #include "teasellead/forwarding/upstream_directory.hpp"
+#include "teasellead/forwarding/usual_latency.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/random.hpp"
 #include "teasellead/kernel/verdict.hpp"
@@ -113,26 +114,6 @@
 /// how a request ended
 using dispatch_result = std::variant<forwarded, gathered, unanswered>;
 
-/*!
-@brief how long the attempts of a route usually take
-
-Averages the replies of all its upstreams, which work on requests of one kind.
-*/
-class usual_latency
-{
-  public:
-    /// takes the latency of an attempt that was answered
-    void add(duration latency) noexcept;
-
-    /// time after which an attempt is later than most; nothing before enough replies
-    [[nodiscard]] std::optional<duration> late_after() const noexcept;
-
-  private:
-    duration m_mean{duration::zero()};
-    duration m_deviation{duration::zero()};
-    std::uint32_t m_replies{0};
-};
-
 /// what all requests of a node share
 struct dispatch_context
 {
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -19,9 +19,6 @@
 constexpr double least_partial_part = 0.65;
 // an answer's way to the caller, and the caller's connection before the request
 constexpr duration caller_travel_time = milliseconds{16};
-constexpr int latency_memory = 64; // replies
-constexpr std::uint32_t min_latency_replies = 16;
-constexpr double late_deviations = 2.5;
 constexpr int silence_multiple = 2;
 constexpr duration room_check_interval = milliseconds{4};
 constexpr milliseconds busy_retry_after{100};
@@ -135,27 +132,6 @@
     end_leg(target, leg_state::missing, is_full ? failure_reason::overloaded : known);
 }
 
-void usual_latency::add(duration latency) noexcept
-{
-    if (m_replies == 0)
-    {
-        m_mean = latency;
-    }
-    ++m_replies;
-    m_mean += (latency - m_mean) / latency_memory;
-    const duration deviation = latency > m_mean ? latency - m_mean : m_mean - latency;
-    m_deviation += (deviation - m_deviation) / latency_memory;
-}
-
-std::optional<duration> usual_latency::late_after() const noexcept
-{
-    if (m_replies < min_latency_replies)
-    {
-        return std::nullopt;
-    }
-    return m_mean + std::chrono::duration_cast<duration>(m_deviation * late_deviations);
-}
-
 duration dispatch::hedge_delay() const
 {
     const duration longest = part_of(m_request.m_objective, max_hedge_part);
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -26,15 +26,13 @@
     std::string m_data_centre;
     endpoint m_callers;   ///< where requests arrive
     endpoint m_readiness; ///< where a balancer asks whether the node is ready
-    std::string m_readiness_path;
-    endpoint m_peers;   ///< where other nodes reach this one
-    endpoint m_metrics; ///< where metrics are served; port 0 for nowhere
+    endpoint m_peers;     ///< where other nodes reach this one
+    endpoint m_metrics;   ///< where metrics are served; port 0 for nowhere
     std::vector<endpoint> m_seeds;
     duration m_key_freshness{}; ///< age of the configuration beyond which no key is believed
     duration m_grace{};         ///< time from the order to stop to its end
     forwarding::attempt_budget_settings m_attempt_budget;
     account_bound m_account_bound;
-    double m_cold_overage{1.0}; ///< factor on a cold upstream's rate that all nodes may reach together
 
     friend bool operator==(const forwarding_settings&, const forwarding_settings&) = default;
 };
--- a/packages/runtime/src/caller_session.cpp
+++ b/packages/runtime/src/caller_session.cpp
@@ -3,6 +3,8 @@
 #include <boost/beast/http/error.hpp>
 #include <chrono>
 
+#include "feed_parser.hpp"
+
 namespace teasellead::runtime
 {
 
@@ -136,24 +138,10 @@
         m_phase = phase::reading;
         arm(m_server->m_limits.m_header_timeout);
     }
-    boost::system::error_code error;
-    while (m_buffer.size() > 0 && !m_parser->is_done())
+    if (const boost::system::error_code error = feed_parser(*m_parser, m_buffer))
     {
-        const std::size_t used = m_parser->put(m_buffer.data(), error);
-        m_buffer.consume(used);
-        if (error == http::error::need_more)
-        {
-            break;
-        }
-        if (error)
-        {
-            reject(status_of(error));
-            return;
-        }
-        if (used == 0)
-        {
-            break;
-        }
+        reject(status_of(error));
+        return;
     }
     if (m_parser->is_done())
     {
--- a/packages/runtime/src/client_connection.cpp
+++ b/packages/runtime/src/client_connection.cpp
@@ -3,7 +3,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
-#include <netinet/tcp.h>
+
+#include "feed_parser.hpp"
 
 namespace teasellead::runtime
 {
@@ -165,24 +166,10 @@
 
 void client_connection::parse()
 {
-    boost::system::error_code error;
-    while (m_buffer.size() > 0 && !m_parser->is_done())
+    if (feed_parser(*m_parser, m_buffer))
     {
-        const std::size_t used = m_parser->put(m_buffer.data(), error);
-        m_buffer.consume(used);
-        if (error == http::error::need_more)
-        {
-            break;
-        }
-        if (error)
-        {
-            fail();
-            return;
-        }
-        if (used == 0)
-        {
-            break;
-        }
+        fail();
+        return;
     }
     if (m_parser->is_done())
     {
