Let a stand-in give little while it hears of the owner

Ruled out: restarts (none from 0 to 13 s), views that differ (all counted 9).

Change: a stand-in gives 0.12 of the rate as long as gossip brings the owner's heartbeats, and all of it once they have stopped for 2 s; nodes that reach neither use half of their parts.

--- a/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
@@ -93,9 +93,11 @@
     @brief takes the nodes among which accounts are owned
 
     @param[in] others      addresses of the other nodes that may be serving
+    @param[in] silent      those of them from whom nothing is heard
     @param[in] is_settled  whether this node has been up for long enough to know all others
     */
-    void on_members(std::vector<endpoint> others, bool is_settled, time_point now);
+    void on_members(std::vector<endpoint> others, std::vector<endpoint> silent, bool is_settled,
+                    time_point now);
 
     /*!
     @brief asks for one request of an account
@@ -173,6 +175,7 @@
     };
 
     [[nodiscard]] double rate_of_all(const account_state& state) const;
+    [[nodiscard]] double owned_part(const account_state& state) const;
     [[nodiscard]] double capacity_of_all(const account_state& state) const;
     void refill(bucket& target, double rate, double capacity, time_point now) const;
     void refill_owned(account_state& state, time_point now) const;
@@ -191,6 +194,7 @@
     account_bound m_bound;
     std::vector<endpoint> m_nodes; ///< all members, this one among them
     std::uint64_t m_members_version{1};
+    std::vector<endpoint> m_silent; ///< in ascending order
     bool m_is_settled{false};
     std::uint64_t m_last_call{0};
     std::size_t m_waiting{0};
--- a/packages/fleet/include/teasellead/fleet/roster.hpp
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -104,6 +104,9 @@
     /// addresses of the counted nodes, without this one
     [[nodiscard]] std::vector<endpoint> peers(time_point now) const;
 
+    /// those of @ref peers from whom nothing has been heard for a while; they may still serve
+    [[nodiscard]] std::vector<endpoint> silent_peers(time_point now) const;
+
     /// those of @ref peers that are in this node's data centre, or those that aren't
     [[nodiscard]] std::vector<endpoint> peers(bool is_local, time_point now) const;
 
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -36,6 +36,10 @@
 constexpr milliseconds min_retry_after{20};
 // until all nodes know each other, several may take themselves for the owner
 constexpr double unsettled_part = 0.25;
+// of a node that stands in for an owner that is heard: more would come on top of what the owner gives
+constexpr double stand_in_part = 0.12;
+// of all nodes together while no owner answers
+constexpr double alone_part = 0.5;
 constexpr double unsettled_first_tokens = 0.5;
 
 double seconds_of(duration length)
@@ -80,8 +84,11 @@
     m_accounts = std::move(next);
 }
 
-void quota_ledger::on_members(std::vector<endpoint> others, bool is_settled, time_point now)
+void quota_ledger::on_members(std::vector<endpoint> others, std::vector<endpoint> silent, bool is_settled,
+                              time_point now)
 {
+    std::sort(silent.begin(), silent.end());
+    m_silent = std::move(silent);
     others.push_back(m_self);
     std::sort(others.begin(), others.end());
     m_is_settled = is_settled;
@@ -126,9 +133,20 @@
     target.m_backlog = std::clamp(target.m_backlog - rate * passed_s, 0.0, rate * max_backlog_s);
 }
 
+double quota_ledger::owned_part(const account_state& state) const
+{
+    if (!m_is_settled)
+    {
+        return unsettled_part;
+    }
+    const bool is_owner_heard = !state.m_order.empty() &&
+                                !std::binary_search(m_silent.begin(), m_silent.end(), state.m_order.front());
+    return state.m_is_owner || !is_owner_heard ? 1.0 : stand_in_part;
+}
+
 void quota_ledger::refill_owned(account_state& state, time_point now) const
 {
-    const double rate = (m_is_settled ? 1.0 : unsettled_part) * rate_of_all(state);
+    const double rate = owned_part(state) * rate_of_all(state);
     // a node that stands in may save up hardly anything: the owner may have spent the rest
     const double capacity =
         state.m_is_owner ? capacity_of_all(state) : first_tokens + rate * stand_in_saving_s;
@@ -137,7 +155,7 @@
 
 void quota_ledger::refill_fallback(account_state& state, time_point now) const
 {
-    const double part = 1.0 / static_cast<double>(m_nodes.size());
+    const double part = alone_part / static_cast<double>(m_nodes.size());
     const double rate = part * rate_of_all(state);
     refill(state.m_fallback, rate, std::max(1.0, rate * stand_in_saving_s), now);
 }
--- a/packages/fleet/src/roster.cpp
+++ b/packages/fleet/src/roster.cpp
@@ -10,6 +10,7 @@
 
 // silence after which a node may be gone; gossip takes a few periods to bring its records
 constexpr int suspicious_periods = 6;
+constexpr int silent_periods = 4;
 constexpr duration recent_nodes_memory = std::chrono::seconds{30};
 
 } // namespace
@@ -188,6 +189,19 @@
     return result;
 }
 
+std::vector<endpoint> roster::silent_peers(time_point now) const
+{
+    std::vector<endpoint> result;
+    for (const auto& [address, node] : m_nodes)
+    {
+        if (is_counted(node, now) && now - node.m_heard_at > silent_periods * m_settings.m_gossip_period)
+        {
+            result.push_back(address);
+        }
+    }
+    return result;
+}
+
 std::vector<endpoint> roster::peers(bool is_local, time_point now) const
 {
     std::vector<endpoint> result;
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -180,7 +180,8 @@
         const std::size_t counted = m_members.counted_nodes(now);
         m_nodes = std::max<std::size_t>(m_members.recent_nodes(now), 1);
         m_budget.set_part(1.0 / static_cast<double>(m_nodes));
-        m_quotas.on_members(m_members.peers(now), m_members.has_settled(now), now);
+        m_quotas.on_members(m_members.peers(now), m_members.silent_peers(now), m_members.has_settled(now),
+                            now);
         if (counted != m_logged_nodes)
         {
             m_logged_nodes = counted;
--- a/tests/unit/fleet/unit-quota-ledger.cpp
+++ b/tests/unit/fleet/unit-quota-ledger.cpp
@@ -54,11 +54,18 @@
         m_stopped.insert(address_of(node));
     }
 
+    /// the first nodes get no answer of an owner any more, but of one that stands in
+    void break_links(std::size_t nodes)
+    {
+        m_broken = nodes;
+    }
+
     /// all nodes hear which ones are left
     void share_members()
     {
         for (auto& [address, ledger] : m_ledgers)
         {
+            const std::vector<endpoint> silent{m_stopped.begin(), m_stopped.end()};
             std::vector<endpoint> others;
             for (const auto& [other, unused] : m_ledgers)
             {
@@ -67,7 +74,7 @@
                     others.push_back(other);
                 }
             }
-            ledger.on_members(others, true, m_now);
+            ledger.on_members(others, silent, true, m_now);
         }
     }
 
@@ -189,6 +196,11 @@
                 continue;
             }
             quota_ledger& ledger = m_ledgers.at(receiver);
+            const bool is_broken = each.m_sender < address_of(m_broken) && is_first_call(each);
+            if (is_broken)
+            {
+                continue;
+            }
             if (const auto* request = std::get_if<token_request>(&each.m_message.m_content))
             {
                 ledger.on_message(each.m_sender, *request, m_now);
@@ -200,6 +212,18 @@
         }
     }
 
+    /// whether a message asks the node that the sender takes for the owner: it asked nobody in the last
+    /// moment
+    bool is_first_call(const flying& message)
+    {
+        if (!std::holds_alternative<token_request>(message.m_message.m_content))
+        {
+            return false;
+        }
+        const auto known = m_first_receiver.emplace(message.m_sender, message.m_message.m_receiver).first;
+        return known->second == message.m_message.m_receiver;
+    }
+
     void check_bound()
     {
         while (!m_admitted.empty() && m_admitted.front() <= m_now - bound.m_window)
@@ -224,6 +248,8 @@
     std::size_t m_admitted_in_all{0};
     std::size_t m_refused{0};
     std::size_t m_steps{0};
+    std::size_t m_broken{0};
+    std::map<endpoint, endpoint> m_first_receiver; ///< the owner, as each node asks it first
 };
 
 class quota_ledger_test : public CppUnit::TestFixture
@@ -232,6 +258,7 @@
     CPPUNIT_TEST(account_within_its_limit_is_never_refused);
     CPPUNIT_TEST(surge_keeps_the_bound_and_uses_the_limit);
     CPPUNIT_TEST(loss_of_nodes_keeps_the_bound);
+    CPPUNIT_TEST(broken_links_to_a_living_owner_keep_the_bound);
     CPPUNIT_TEST(every_request_is_decided);
     CPPUNIT_TEST(withdrawn_request_takes_nothing);
     CPPUNIT_TEST(unlimited_and_unknown_accounts);
@@ -299,6 +326,18 @@
         }
     }
 
+    /// half of the nodes can't reach the owner, wherever it is, and ask the node that stands in
+    void broken_links_to_a_living_owner_keep_the_bound()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed)
+        {
+            ledger_fleet fleet{9, {{"school", 120.0, 120.0, {}}}, seed};
+            fleet.run(3s, 60.0);
+            fleet.break_links(4);
+            fleet.run(8s, 600.0);
+        }
+    }
+
     void every_request_is_decided()
     {
         ledger_fleet fleet{4, {{"school", 30.0, 30.0, {}}}, 3};
@@ -315,7 +354,7 @@
     {
         quota_ledger ledger{address_of(0), bound};
         ledger.on_declarations({{"school", 5.0, 5.0, {}}}, start);
-        ledger.on_members({address_of(1), address_of(2), address_of(3), address_of(4)}, true, start);
+        ledger.on_members({address_of(1), address_of(2), address_of(3), address_of(4)}, {}, true, start);
         const quota_answer answer = ledger.request("school", 1, start);
         if (std::holds_alternative<quota_pending>(answer))
         {
@@ -369,7 +408,7 @@
     {
         quota_ledger ledger{address_of(0), bound};
         ledger.on_declarations({{"school", 5.0, 5.0, {}}}, start);
-        ledger.on_members({}, true, start);
+        ledger.on_members({}, {}, true, start);
         duration last{};
         int refused = 0;
         for (quota_ticket ticket = 1; ticket <= 20; ++ticket)
