Cut off upstreams and callers whose bytes never end

Cause: a response that announces a length of some terabytes ended the whole node. The parser reserves the announced length before it compares it with its limit, if the body comes in a later segment than the head; std::bad_alloc left the loop. Besides, 1xx responses and responses to other requests were skipped without a bound, and each of some hundred connections could hold 16 MB. Ruled out: heads, chunk sizes, chunk extensions, trailers and bodies that end with the connection were bounded before; requests of callers too, since the parser compares their length while it reads the head. Change: feed_parser compares the announced length itself and parses head and body in steps; at most 16 responses are skipped for one request; all unfinished responses of upstreams share 48 MB (receive_budget), and the connection that goes beyond is closed as malformed. Not done: a process test with some hundred such connections under a memory bound, and the same rows for the store and for peers.

--- a/packages/runtime/include/teasellead/runtime/client_connection.hpp
+++ b/packages/runtime/include/teasellead/runtime/client_connection.hpp
@@ -14,6 +14,7 @@
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/runtime/asio.hpp"
 #include "teasellead/runtime/http_message.hpp"
+#include "teasellead/runtime/receive_budget.hpp"
 
 namespace teasellead::runtime
 {
@@ -31,7 +32,7 @@
     not_connected, ///< no connection; nothing was sent
     not_sent,      ///< the connection ended before a byte of the request left
     lost,          ///< the connection ended without a response
-    malformed      ///< what came is no whole response, or a larger one than allowed
+    malformed      ///< what came is no whole response, a larger one than allowed, or too many
 };
 
 /// name of a failure in logs
@@ -72,9 +73,14 @@
     @param[in] clock            time of @ref usable_until
     @param[in] address          server
     @param[in] connect_timeout  longest time to connect
+    @param[in] budget           bounds what this and other connections receive at once; none if empty
     */
     client_connection(asio::io_context& loop, const monotonic_clock& clock, const endpoint& address,
-                      std::chrono::milliseconds connect_timeout);
+                      std::chrono::milliseconds connect_timeout,
+                      std::shared_ptr<receive_budget> budget = nullptr);
+    ~client_connection();
+    client_connection(const client_connection&) = delete;
+    client_connection& operator=(const client_connection&) = delete;
 
     /// called once when the connection is closed, for whatever reason
     void on_closed(std::function<void()> callback)
@@ -131,6 +137,8 @@
     void read();
     void on_read(const boost::system::error_code& error, std::size_t bytes);
     void begin_response();
+    [[nodiscard]] bool charge();
+    void release_charge() noexcept;
     void parse();
     void on_response();
     void on_end_of_stream(bool is_clean);
@@ -146,6 +154,9 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     std::optional<exchange> m_exchange;
+    std::shared_ptr<receive_budget> m_budget;
+    std::size_t m_charged{0}; ///< bytes of the unfinished response
+    int m_skipped{0};         ///< responses to the running request that weren't its final one
     bool m_is_reading{false};
     bool m_is_sending{false};
     bool m_has_sent{false}; ///< whether bytes of the running request may have left
--- a/packages/runtime/include/teasellead/runtime/upstream_pool.hpp
+++ b/packages/runtime/include/teasellead/runtime/upstream_pool.hpp
@@ -53,6 +53,9 @@
     void close_unused();
 
   private:
+    /// of the unfinished responses of all upstreams together
+    static constexpr std::size_t max_received_bytes = 48 * 1024 * 1024;
+
     struct connections
     {
         forwarding::shared_upstream m_upstream; ///< keeps the address of the key from being used again
@@ -62,6 +65,7 @@
     asio::io_context& m_loop;
     const monotonic_clock& m_clock;
     std::chrono::milliseconds m_connect_timeout;
+    std::shared_ptr<receive_budget> m_budget{std::make_shared<receive_budget>(max_received_bytes)};
     std::unordered_map<const forwarding::upstream*, connections> m_connections;
     std::uint64_t m_opened{0};
 };
--- a/packages/runtime/src/caller_session.cpp
+++ b/packages/runtime/src/caller_session.cpp
@@ -67,7 +67,6 @@
     m_keeps_alive = true;
     m_has_continued = false;
     m_parser.emplace();
-    m_parser->eager(true);
     m_parser->header_limit(m_server->m_limits.m_max_header_bytes);
     m_parser->body_limit(m_server->m_limits.m_max_body_bytes);
     arm(m_server->m_limits.m_idle_timeout + idle_close_delay);
@@ -138,7 +137,8 @@
         m_phase = phase::reading;
         arm(m_server->m_limits.m_header_timeout);
     }
-    if (const boost::system::error_code error = feed_parser(*m_parser, m_buffer))
+    if (const boost::system::error_code error =
+            feed_parser(*m_parser, m_buffer, m_server->m_limits.m_max_body_bytes))
     {
         reject(status_of(error));
         return;
--- a/packages/runtime/src/client_connection.cpp
+++ b/packages/runtime/src/client_connection.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <charconv>
 #include <sys/socket.h>
+#include <utility>
 
 #include "feed_parser.hpp"
 
@@ -18,6 +19,8 @@
 
 constexpr std::size_t read_size = 4096;
 constexpr std::uint32_t max_response_header = 32 * 1024;
+// interim responses, and those of earlier requests, before that of the running one
+constexpr int max_skipped = 16;
 // part of the server's idle timeout after which a connection isn't used any more
 constexpr double usable_part = 0.7;
 
@@ -58,15 +61,23 @@
 }
 
 client_connection::client_connection(asio::io_context& loop, const monotonic_clock& clock,
-                                     const endpoint& address, std::chrono::milliseconds connect_timeout)
-    : m_clock(clock), m_socket(loop), m_address(address), m_connect_timeout(connect_timeout), m_timer(loop)
+                                     const endpoint& address, std::chrono::milliseconds connect_timeout,
+                                     std::shared_ptr<receive_budget> budget)
+    : m_clock(clock), m_socket(loop), m_address(address), m_connect_timeout(connect_timeout), m_timer(loop),
+      m_budget(std::move(budget))
 {
 }
 
+client_connection::~client_connection()
+{
+    release_charge();
+}
+
 void client_connection::start(exchange next)
 {
     m_exchange = std::move(next);
     m_has_sent = false;
+    m_skipped = 0;
     if (m_state == state::unconnected)
     {
         connect();
@@ -174,7 +185,6 @@
 void client_connection::begin_response()
 {
     m_parser.emplace();
-    m_parser->eager(true);
     m_parser->header_limit(max_response_header);
     m_parser->body_limit(m_exchange->m_max_body);
     m_parser->skip(m_exchange->m_is_head);
@@ -182,7 +192,7 @@
 
 void client_connection::parse()
 {
-    if (feed_parser(*m_parser, m_buffer))
+    if (feed_parser(*m_parser, m_buffer, m_exchange->m_max_body) || !charge())
     {
         fail(exchange_failure::malformed);
         return;
@@ -195,6 +205,24 @@
     read();
 }
 
+bool client_connection::charge()
+{
+    if (!m_budget)
+    {
+        return true;
+    }
+    const std::size_t held = m_buffer.capacity() + m_parser->get().body().capacity();
+    return m_budget->replace(std::exchange(m_charged, held), held);
+}
+
+void client_connection::release_charge() noexcept
+{
+    if (m_budget)
+    {
+        m_budget->release(std::exchange(m_charged, 0));
+    }
+}
+
 void client_connection::on_response()
 {
     constexpr unsigned first_final_status = 200;
@@ -209,6 +237,11 @@
     const bool is_interim = response.m_status < first_final_status;
     if (is_interim || (m_exchange->m_is_own && !m_exchange->m_is_own(response)))
     {
+        if (++m_skipped > max_skipped)
+        {
+            fail(exchange_failure::malformed);
+            return;
+        }
         begin_response();
         parse();
         return;
@@ -223,6 +256,7 @@
     }
     std::string connection{find_field(response.m_fields, "connection").value_or("")};
     received_response received{std::move(response), std::move(connection)};
+    release_charge();
     if (is_kept)
     {
         m_state = state::idle;
@@ -290,6 +324,7 @@
         return;
     }
     m_state = state::closed;
+    release_charge();
     m_exchange.reset();
     m_timer.cancel();
     boost::system::error_code ignored; // nothing is left to do with the socket
--- a/packages/runtime/src/feed_parser.hpp
+++ b/packages/runtime/src/feed_parser.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
+#include <cstdint>
 
 namespace teasellead::runtime
 {
@@ -9,13 +10,15 @@
 /*!
 @brief gives a parser what has arrived, as far as it takes it
 
-@param[in,out] parser  a parser of requests or responses
-@param[in,out] buffer  received bytes; those that were taken are removed
+@param[in,out] parser    a parser of requests or responses that isn't eager
+@param[in,out] buffer    received bytes; those that were taken are removed
+@param[in]     max_body  largest body in bytes
 
 @return the error by which the message is malformed, or none
 */
 template <class Parser>
-boost::system::error_code feed_parser(Parser& parser, boost::beast::flat_buffer& buffer)
+boost::system::error_code feed_parser(Parser& parser, boost::beast::flat_buffer& buffer,
+                                      std::uint64_t max_body)
 {
     boost::system::error_code error;
     while (buffer.size() > 0 && !parser.is_done())
@@ -30,6 +33,11 @@
         {
             return error;
         }
+        // the parser reserves the announced length before it compares it with its own limit
+        if (parser.is_header_done() && parser.content_length().value_or(0) > max_body)
+        {
+            return boost::beast::http::make_error_code(boost::beast::http::error::body_limit);
+        }
     }
     return {};
 }
--- a/packages/runtime/src/upstream_pool.cpp
+++ b/packages/runtime/src/upstream_pool.cpp
@@ -52,8 +52,8 @@
             each->close();
         }
     }
-    const auto added =
-        std::make_shared<client_connection>(m_loop, m_clock, target->entry().m_address, m_connect_timeout);
+    const auto added = std::make_shared<client_connection>(m_loop, m_clock, target->entry().m_address,
+                                                           m_connect_timeout, m_budget);
     added->on_closed(
         [this, key = target.get(), raw = added.get()]
         {
--- a/tests/unit/runtime/unit-caller-session.cpp
+++ b/tests/unit/runtime/unit-caller-session.cpp
@@ -67,6 +67,7 @@
 {
     CPPUNIT_TEST_SUITE(caller_session_test);
     CPPUNIT_TEST(bad_requests_get_a_clear_answer);
+    CPPUNIT_TEST(length_beyond_all_bounds_is_rejected);
     CPPUNIT_TEST(slow_head_is_ended);
     CPPUNIT_TEST(requests_in_a_row_are_answered_in_order);
     CPPUNIT_TEST(chunks_are_put_together);
@@ -94,6 +95,23 @@
         m_thread.reset();
     }
 
+    /// the body may come with the head, after it, or never
+    void length_beyond_all_bounds_is_rejected()
+    {
+        const std::string head = "POST / HTTP/1.1\r\nContent-Length: 9000000000000\r\n";
+        for (const std::string& rest : {std::string{"\r\n"}, "\r\n" + std::string(100, 'x'),
+                                        std::string{"Expect: 100-continue\r\n\r\n"}})
+        {
+            raw_connection connection;
+            connection.send(head + rest);
+            CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 413"}, connection.read_all().substr(0, 12));
+        }
+        raw_connection connection;
+        connection.send(head + "\r\n");
+        connection.send(std::string(100, 'x'));
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 413"}, connection.read_all().substr(0, 12));
+    }
+
     void bad_requests_get_a_clear_answer()
     {
         struct row
--- a/tests/unit/runtime/unit-client-connection.cpp
+++ b/tests/unit/runtime/unit-client-connection.cpp
@@ -35,6 +35,8 @@
 {
     CPPUNIT_TEST_SUITE(client_connection_test);
     CPPUNIT_TEST(responses_and_what_is_left_of_the_connection);
+    CPPUNIT_TEST(bytes_without_end_are_cut_off);
+    CPPUNIT_TEST(connections_share_the_memory_for_responses);
     CPPUNIT_TEST(refused_connection_proves_that_nothing_ran);
     CPPUNIT_TEST(forbidden_request_is_never_sent);
     CPPUNIT_TEST_SUITE_END();
@@ -114,6 +116,55 @@
         }
     }
 
+    /// a server that goes on sending until the client closes
+    void bytes_without_end_are_cut_off()
+    {
+        struct row
+        {
+            std::string m_name;
+            std::string m_first;
+            std::string m_repeated;
+        };
+        const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: own\r\n";
+        const std::string junk(1000, 'x');
+        const std::vector<row> rows{
+            {"junk instead of a response", "", junk},
+            {"status line", "HTTP/1.1 200 ", junk},
+            {"line of the head", "HTTP/1.1 200 OK\r\nA: ", junk},
+            {"lines of the head", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+            {"body that ends with the connection", head + "\r\n", junk},
+            {"more chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + junk + "\r\n"},
+            {"size of a chunk", head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+            {"extension of a chunk", head + "Transfer-Encoding: chunked\r\n\r\n1;", junk},
+            {"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+            {"length beyond all bounds", head + "Content-Length: 9000000000000\r\n\r\n", junk},
+            {"the same with its first bytes", head + "Content-Length: 9000000000000\r\n\r\nx", junk},
+            {"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+            {"responses to others", "", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n"},
+        };
+        for (const row& each : rows)
+        {
+            const auto budget = std::make_shared<receive_budget>(receive_limit);
+            const exchange_result result = exchange_without_end(each.m_first, each.m_repeated, budget);
+            CPPUNIT_ASSERT_MESSAGE(each.m_name, std::holds_alternative<exchange_failure>(result));
+            CPPUNIT_ASSERT_MESSAGE(each.m_name,
+                                   std::get<exchange_failure>(result) == exchange_failure::malformed);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_name, std::size_t{0}, budget->used());
+        }
+    }
+
+    /// what one connection holds is missing to the others, until it ends
+    void connections_share_the_memory_for_responses()
+    {
+        receive_budget budget{100};
+        CPPUNIT_ASSERT(budget.replace(0, 60));
+        CPPUNIT_ASSERT(budget.replace(0, 40));
+        CPPUNIT_ASSERT(!budget.replace(60, 61));
+        budget.release(61);
+        CPPUNIT_ASSERT(budget.replace(40, 100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{100}, budget.used());
+    }
+
     void refused_connection_proves_that_nothing_ran()
     {
         loop_thread thread;
@@ -157,6 +208,50 @@
     }
 
   private:
+    static constexpr std::size_t receive_limit = 1'000'000;
+
+    /// result of a request to a server that sends until the connection is closed
+    exchange_result exchange_without_end(const std::string& first, const std::string& repeated,
+                                         const std::shared_ptr<receive_budget>& budget)
+    {
+        loop_thread thread;
+        std::promise<exchange_result> ended;
+        std::shared_ptr<client_connection> connection;
+        std::thread server = serve_without_end(first, repeated);
+        thread.run(
+            [&]
+            {
+                connection = std::make_shared<client_connection>(thread.loop(), m_clock, server_address,
+                                                                 500ms, budget);
+                connection->start(
+                    exchange_of([&ended](exchange_result result) { ended.set_value(std::move(result)); }));
+            });
+        auto result = ended.get_future();
+        const bool has_ended = result.wait_for(10s) == std::future_status::ready;
+        thread.run([&] { connection->close(); });
+        server.join();
+        CPPUNIT_ASSERT(has_ended);
+        return result.get();
+    }
+
+    /// accepts one connection and writes until the client closes it
+    static std::thread serve_without_end(const std::string& first, const std::string& repeated)
+    {
+        auto loop = std::make_shared<asio::io_context>();
+        auto acceptor = std::make_shared<tcp::acceptor>(*loop, to_tcp(server_address), true);
+        return std::thread{[loop, acceptor, first, repeated]
+                           {
+                               tcp::socket socket{*loop};
+                               acceptor->accept(socket);
+                               boost::system::error_code error; // the client closes
+                               asio::write(socket, asio::buffer(first), error);
+                               while (!error)
+                               {
+                                   asio::write(socket, asio::buffer(repeated), error);
+                               }
+                           }};
+    }
+
     static exchange exchange_of(std::function<void(exchange_result)> on_end)
     {
         exchange next;
