Answer a request at once that the ledger decides while it is asked for

Cause: a node that is about to stop and finds no other one decides a request within the call that asks for it. Change: quota_ledger::request returns such a decision itself. Tests: request_that_need_not_wait_is_answered_at_once; one trouble for each node in turn is played against the limit as well (kills, losses of power, freezes, cuts, kills behind a cut).

--- a/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
@@ -182,6 +182,8 @@
     void on_no_answer(const std::string& name, account_state& state, time_point now);
     void on_lease_change(const std::string& name, account_state& state, time_point now);
     void answer(const std::string& name, account_state& state, const waiting_node& asker, time_point now);
+    /// the decision of a request that was made while it was asked for
+    [[nodiscard]] std::optional<quota_answer> take_decision(quota_ticket ticket);
     [[nodiscard]] double serve_waiting(account_state& state, double tokens);
     void settle(account_state& state, double tokens, duration retry_after, time_point now);
     void decide_from_bucket(account_state& state, time_point now);
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -174,7 +174,20 @@
     {
         call(name, state, 0, now);
     }
-    return quota_pending{};
+    return take_decision(ticket).value_or(quota_pending{});
+}
+
+std::optional<quota_answer> quota_ledger::take_decision(quota_ticket ticket)
+{
+    const auto found = std::find_if(m_decisions.begin(), m_decisions.end(),
+                                    [ticket](const quota_decision& each) { return each.m_ticket == ticket; });
+    if (found == m_decisions.end())
+    {
+        return std::nullopt;
+    }
+    const quota_decision decided = *found;
+    m_decisions.erase(found);
+    return decided.m_is_granted ? quota_answer{quota_granted{}} : quota_refused{decided.m_retry_after};
 }
 
 void quota_ledger::withdraw(const std::string& name, quota_ticket ticket)
--- a/tests/unit/fleet/unit-quota-churn.cpp
+++ b/tests/unit/fleet/unit-quota-churn.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cstdlib>
+#include <functional>
 #include <string>
 
 #include "limiting_fleet.hpp"
@@ -56,6 +57,7 @@
     CPPUNIT_TEST_SUITE(quota_churn_test);
     CPPUNIT_TEST(rolling_restart_keeps_the_bound);
     CPPUNIT_TEST(changes_in_series_keep_the_bound);
+    CPPUNIT_TEST(one_trouble_for_each_node_in_turn_keeps_the_bound);
     CPPUNIT_TEST(rolling_restart_of_many_nodes_keeps_the_bound);
     CPPUNIT_TEST(changes_of_many_nodes_keep_the_bound);
     CPPUNIT_TEST_SUITE_END();
@@ -72,6 +74,49 @@
         restart_in_turn(large_cases());
     }
 
+    /// whichever node holds the bucket, it is struck; then the next one
+    void one_trouble_for_each_node_in_turn_keeps_the_bound()
+    {
+        using strike = std::function<void(limiting_fleet&, std::size_t node)>;
+        const std::vector<strike> strikes{
+            [](limiting_fleet& fleet, std::size_t node) { fleet.kill(node, 0ms); },
+            [](limiting_fleet& fleet, std::size_t node) { fleet.kill(node, 3500ms); },
+            [](limiting_fleet& fleet, std::size_t node) { fleet.freeze(node, 3500ms); },
+            [](limiting_fleet& fleet, std::size_t node)
+            {
+                std::vector<std::size_t> groups(fleet.nodes(), 0);
+                groups.at(node) = 1;
+                fleet.cut(std::move(groups));
+            },
+            [](limiting_fleet& fleet, std::size_t node)
+            {
+                std::vector<std::size_t> groups(fleet.nodes(), 0);
+                std::fill(groups.begin(), groups.begin() + static_cast<std::ptrdiff_t>(fleet.nodes() / 2), 1);
+                fleet.cut(std::move(groups));
+                fleet.kill(node, 0ms);
+            }};
+        broken_seeds broken;
+        for (const churn_case& each : cases())
+        {
+            for (std::uint64_t seed = 1; seed <= seeds_of(each); ++seed)
+            {
+                limiting_fleet fleet{each.m_nodes, account_of(each), seed};
+                fleet.run(6s, 0.4 * each.m_rate);
+                fleet.run(3s, load * each.m_rate);
+                for (std::size_t node = 0; node < each.m_nodes; ++node)
+                {
+                    strikes.at(seed % strikes.size())(fleet, node);
+                    fleet.run(std::chrono::milliseconds{400 + fleet.random().below(1200)},
+                              load * each.m_rate);
+                }
+                fleet.cut({});
+                fleet.run(6s, load * each.m_rate);
+                broken.check(fleet, each, seed);
+            }
+        }
+        broken.assert_none();
+    }
+
     /// stops, kills, freezes and cuts one after the other and over each other, and a lowered limit
     void changes_in_series_keep_the_bound()
     {
--- a/tests/unit/fleet/unit-quota-ledger.cpp
+++ b/tests/unit/fleet/unit-quota-ledger.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(broken_links_to_a_living_owner_keep_the_bound);
     CPPUNIT_TEST(every_request_is_decided);
     CPPUNIT_TEST(withdrawn_request_takes_nothing);
+    CPPUNIT_TEST(request_that_need_not_wait_is_answered_at_once);
     CPPUNIT_TEST(unlimited_and_unknown_accounts);
     CPPUNIT_TEST(retry_after_grows_with_the_crowd);
     CPPUNIT_TEST(change_of_members_does_not_prolong_a_wait);
@@ -174,6 +175,20 @@
         }
     }
 
+    /// a node that is about to stop and knows no other one decides by itself
+    void request_that_need_not_wait_is_answered_at_once()
+    {
+        quota_ledger ledger{address_of(0), bound};
+        ledger.on_declarations({{"school", 5.0, 5.0, {}}}, start);
+        ledger.on_members({{}, 1, true, true}, start + 10s);
+        for (quota_ticket ticket = 1; ticket <= 3; ++ticket)
+        {
+            const quota_answer answer = ledger.request("school", ticket, start + 10s);
+            CPPUNIT_ASSERT(!std::holds_alternative<quota_pending>(answer));
+        }
+        CPPUNIT_ASSERT(ledger.take_decisions().empty());
+    }
+
     void unlimited_and_unknown_accounts()
     {
         quota_ledger ledger{address_of(0), bound};
