Tell a lost reader by what it says, not by the age of its items

Cause: a reader's confirmation counts from the sending of a watch that the source holds for 1.2 s, so its items are 1.2 to 2.4 s old although all is well.

Change: a reply says whether its sender reads the source and could reach it. Only such a reply counts; a node that got none for 1.6 s reads itself, as it does when it reaches its own rank. The age that makes a node read is 3.3 s again.

Test: calls_to_the_source_do_not_grow_with_the_nodes (2 to 300 nodes, the source holds calls) failed before; changes_arrive_in_time_when_readers_are_lost_together (2 to 88 nodes, 1 to all but one reader lost) and confirmations_stay_recent_when_readers_are_lost_together hold.

--- a/packages/fleet/include/teasellead/fleet/messages.hpp
+++ b/packages/fleet/include/teasellead/fleet/messages.hpp
@@ -288,6 +288,7 @@
     std::optional<std::chrono::milliseconds> m_confirmation_age;
     /// remaining time in which a missing entry may only have expired at the source and isn't taken as removed
     std::chrono::milliseconds m_expiry_grace{0};
+    bool m_is_reader{false}; ///< whether the sender reads the source and could reach it
 
     friend bool operator==(const publication_reply&, const publication_reply&) = default;
 };
--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -19,10 +19,10 @@
     duration m_poll_period{std::chrono::milliseconds{350}}; ///< time between two requests to peers
     /// time without a reply until a request has failed
     duration m_reply_timeout{std::chrono::milliseconds{250}};
-    /// largest age of the items of a peer that reads the source, or follows a peer that does
-    duration m_fresh_age{std::chrono::milliseconds{1600}};
+    /// time without a reply of a peer that reads the source until this node reads it itself
+    duration m_reader_timeout{std::chrono::milliseconds{1600}};
     /// age of this node's items beyond which it reads the source itself
-    duration m_usable_age{std::chrono::milliseconds{2300}};
+    duration m_usable_age{std::chrono::milliseconds{3300}};
     /// min. time for which a follower reads the source itself
     duration m_own_read_time{std::chrono::seconds{4}};
 
@@ -47,11 +47,13 @@
 @brief decides from where a node reads the items that its deployment publishes: the source or a peer
 
 One node of each data centre, the first in the order of rendezvous hashes, reads the source; the others send
-their requests to it. When two requests in a row aren't answered with fresh items, a node sends the next ones
-to the node with the next rank. When it reaches its own rank, or its items are too old, it reads the source
-itself for a while. So the node with the next rank replaces a reader that has failed, and the others find it.
-A node that can't reach the source sends requests to any peer. The number of readers doesn't grow with the
-number of nodes. A state machine without I/O. Not safe for use by several threads.
+their requests to it. A reply counts only if its sender reads the source: the age of its items says little,
+because a reader's items are up to two watches old. When two requests in a row fail, a node sends the next
+ones to the node with the next rank. When it reaches its own rank, has found no reader for a while, or its
+items are too old, it reads the source itself for a while. So the node with the next rank replaces a reader
+that has failed, and the others find it. A node that can't reach the source sends requests to any peer. The
+number of readers doesn't grow with the number of nodes. A state machine without I/O. Not safe for use by
+several threads.
 */
 class publication_follower
 {
@@ -117,6 +119,8 @@
   private:
     [[nodiscard]] bool is_designated() const;
     [[nodiscard]] std::optional<endpoint> choose_peer(time_point now);
+    [[nodiscard]] bool needs_source(time_point now) const;
+    [[nodiscard]] bool is_from_reader(const publication_reply& reply) const;
     void on_request_failed(time_point now);
     void start_reading(time_point now);
 
@@ -134,7 +138,9 @@
     bool m_is_waiting{false};
     std::size_t m_rank{0};              ///< rank of the node that receives the requests
     std::size_t m_first_usable_rank{0}; ///< nodes with lower ranks were found to be unresponsive or outdated
-    std::size_t m_failures{0};          ///< consecutive requests to that node without fresh items in reply
+    std::size_t m_failures{0};          ///< consecutive requests to that node that failed
+    /// when a peer that reads the source last replied, or when this node last read the source itself
+    time_point m_reader_seen_at{};
     time_point m_next_request{};
 };
 
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -27,13 +27,14 @@
 follower_settings follower_settings::for_freshness(duration key_freshness)
 {
     constexpr duration::rep requests_per_period = 8;
-    constexpr double fresh_fraction = 0.35;
-    constexpr double usable_fraction = 0.5;
+    constexpr double reader_timeout_fraction = 0.35;
+    constexpr double usable_fraction = 0.7;
     follower_settings result;
     result.m_poll_period = std::min(result.m_poll_period, key_freshness / requests_per_period);
     result.m_reply_timeout = std::min(result.m_reply_timeout, key_freshness / requests_per_period);
-    result.m_fresh_age =
-        std::min(result.m_fresh_age, std::chrono::duration_cast<duration>(key_freshness * fresh_fraction));
+    result.m_reader_timeout =
+        std::min(result.m_reader_timeout,
+                 std::chrono::duration_cast<duration>(key_freshness * reader_timeout_fraction));
     result.m_usable_age =
         std::min(result.m_usable_age, std::chrono::duration_cast<duration>(key_freshness * usable_fraction));
     return result;
@@ -105,8 +106,13 @@
         m_next_request = now;
         on_request_failed(now);
     }
-    const bool is_stale = now - m_confirmed_at > m_settings.m_usable_age;
-    if (is_stale && !reads_source(now))
+    // before the first tick no peer could be asked
+    const bool is_first = m_reader_seen_at == time_point{};
+    if (is_first || reads_source(now))
+    {
+        m_reader_seen_at = now;
+    }
+    if (!reads_source(now) && needs_source(now))
     {
         start_reading(now);
     }
@@ -127,6 +133,19 @@
     return {{*peer, publication_request{m_call, have}}};
 }
 
+bool publication_follower::needs_source(time_point now) const
+{
+    return now - m_confirmed_at > m_settings.m_usable_age ||
+           now - m_reader_seen_at > m_settings.m_reader_timeout;
+}
+
+bool publication_follower::is_from_reader(const publication_reply& reply) const
+{
+    // a reader whose source has become silent notices it later than its followers
+    return reply.m_is_reader && reply.m_confirmation_age &&
+           *reply.m_confirmation_age <= m_settings.m_usable_age;
+}
+
 void publication_follower::on_request_failed(time_point now)
 {
     if (reads_source(now))
@@ -169,6 +188,7 @@
     reply.m_as_of = delta.m_as_of;
     reply.m_is_full = delta.m_is_full;
     reply.m_items = std::move(delta.m_items);
+    reply.m_is_reader = m_source_is_reachable && reads_source(now);
     if (m_confirmed_at != time_point{})
     {
         reply.m_confirmation_age = std::chrono::ceil<milliseconds>(now - m_confirmed_at);
@@ -185,8 +205,9 @@
         return std::nullopt;
     }
     m_is_waiting = false;
-    if (reply.m_confirmation_age && *reply.m_confirmation_age <= m_settings.m_fresh_age)
+    if (is_from_reader(reply))
     {
+        m_reader_seen_at = m_requested_at;
         m_failures = 0;
         m_first_usable_rank = m_rank;
     }
--- a/packages/fleet/src/put_content.cpp
+++ b/packages/fleet/src/put_content.cpp
@@ -224,6 +224,7 @@
     target.set_proved(content.m_confirmation_age.has_value());
     target.set_proof_age_ms(to_wire(content.m_confirmation_age.value_or(std::chrono::milliseconds{0})));
     target.set_lapse_left_ms(to_wire(content.m_expiry_grace));
+    target.set_reader(content.m_is_reader);
     for (const published_item& item : content.m_items)
     {
         wire::PublishedItem& added = *target.add_items();
--- a/tests/unit/fleet/unit-publication.cpp
+++ b/tests/unit/fleet/unit-publication.cpp
@@ -21,6 +21,8 @@
 
 constexpr time_point start{1h};
 constexpr duration step = 50ms;
+// how long the source holds a call while nothing changes
+constexpr duration watch_time = 1200ms;
 
 published_item item_of(const std::string& key, const std::string& value, std::uint64_t revision)
 {
@@ -93,6 +95,12 @@
         return m_now;
     }
 
+    /// lets the source hold calls until something changes, so that a reader's items are up to two watches old
+    void hold_calls() noexcept
+    {
+        m_holds_calls = true;
+    }
+
     /// number of calls to the source so far
     [[nodiscard]] std::size_t reads() const noexcept
     {
@@ -175,6 +183,8 @@
         publication_log m_log;
         time_point m_next_read;
         time_point m_proved_at;
+        bool m_is_watching{false};
+        time_point m_watch_began{};
     };
 
     struct flying
@@ -187,7 +197,17 @@
     {
         fleet_node& self = m_nodes[index];
         const bool is_first = self.m_log.as_of() == 0;
-        if ((!is_first && !self.m_follower.reads_source(m_now)) || m_now < self.m_next_read)
+        if (!is_first && !self.m_follower.reads_source(m_now))
+        {
+            self.m_is_watching = false;
+            return;
+        }
+        if (m_holds_calls && !is_first)
+        {
+            watch_source(self);
+            return;
+        }
+        if (m_now < self.m_next_read)
         {
             return;
         }
@@ -204,6 +224,25 @@
         self.m_proved_at = m_now;
     }
 
+    void watch_source(fleet_node& self)
+    {
+        if (!self.m_is_watching)
+        {
+            self.m_is_watching = true;
+            self.m_watch_began = m_now;
+            ++m_reads;
+            return;
+        }
+        const bool has_change = self.m_log.as_of() < m_revision;
+        if (has_change || m_now - self.m_watch_began >= watch_time)
+        {
+            self.m_log.on_changes({m_published}, m_revision);
+            self.m_follower.on_confirmation(self.m_watch_began);
+            self.m_proved_at = std::max(self.m_proved_at, self.m_watch_began);
+            self.m_is_watching = false;
+        }
+    }
+
     void post(std::size_t sender, const std::vector<outgoing_message>& messages)
     {
         for (const outgoing_message& message : messages)
@@ -247,6 +286,7 @@
     published_item m_published{"key", "first", 1};
     time_point m_now{start};
     std::size_t m_reads{0};
+    bool m_holds_calls{false};
 };
 
 class publication_test : public CppUnit::TestFixture
@@ -259,6 +299,8 @@
     CPPUNIT_TEST(one_node_reads_and_all_receive_updates);
     CPPUNIT_TEST(lost_reader_is_replaced_before_confirmations_expire);
     CPPUNIT_TEST(confirmations_stay_recent_when_readers_are_lost_together);
+    CPPUNIT_TEST(calls_to_the_source_do_not_grow_with_the_nodes);
+    CPPUNIT_TEST(changes_arrive_in_time_when_readers_are_lost_together);
     CPPUNIT_TEST(reader_without_source_requests_from_peers);
     CPPUNIT_TEST(confirmations_age_without_the_source);
     CPPUNIT_TEST(round_trips_messages);
@@ -377,6 +419,45 @@
         }
     }
 
+    // guards against followers that replace a healthy reader, because a held watch makes its items look old
+    void calls_to_the_source_do_not_grow_with_the_nodes()
+    {
+        constexpr std::size_t watches = 50;
+        for (const std::size_t nodes : {2U, 7U, 30U, 88U, 300U})
+        {
+            news_fleet fleet{nodes};
+            fleet.hold_calls();
+            fleet.run(5s);
+            const std::size_t reads_before = fleet.reads();
+            fleet.run(watches * watch_time);
+            const std::size_t reads = fleet.reads() - reads_before;
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(nodes) + " nodes: " + std::to_string(reads) + " reads",
+                                   reads <= watches + 1);
+        }
+    }
+
+    // a change that is published while readers are lost must reach every node within 3 s
+    void changes_arrive_in_time_when_readers_are_lost_together()
+    {
+        for (const std::size_t nodes : {2U, 3U, 5U, 16U, 49U, 88U})
+        {
+            for (std::size_t lost = 1; lost<nodes; lost += nodes> 16 ? 6 : 1)
+            {
+                for (const duration offset : {0ms, 300ms, 600ms, 900ms})
+                {
+                    news_fleet fleet{nodes};
+                    fleet.hold_calls();
+                    fleet.run(5s + offset);
+                    fleet.stop_first(lost);
+                    fleet.publish("second");
+                    fleet.run(3s);
+                    CPPUNIT_ASSERT_MESSAGE(std::to_string(lost) + " of " + std::to_string(nodes) + " lost",
+                                           fleet.all_know(fleet.revision()));
+                }
+            }
+        }
+    }
+
     void reader_without_source_requests_from_peers()
     {
         news_fleet fleet{4};
@@ -406,8 +487,13 @@
     {
         const std::vector<peer_content> contents{
             publication_request{3, 4},
-            publication_reply{
-                3, 9, true, {item_of("a", std::string("\0\xff", 2), 7), {"b", std::nullopt, 8}}, 120ms, 5ms},
+            publication_reply{3,
+                              9,
+                              true,
+                              {item_of("a", std::string("\0\xff", 2), 7), {"b", std::nullopt, 8}},
+                              120ms,
+                              5ms,
+                              true},
             publication_reply{3, 9, false, {}, std::nullopt, 0ms},
             token_request{1, "school", 4},
             token_grant{1, "school", 0, 250ms},
