Send crash records again only when their coordinator has changed

Cause: each change of the responsive nodes made each node send all its records to their coordinators, and each coordinator to all nodes.

Change: a node keeps the coordinator of each record, and sends a record again only if that one is another now: the records of one node, by each node, and once to all by the new coordinator.

Test: flapping_nodes_cause_few_messages (10, 88, 300 nodes, 50 records, 20 suspicions).

--- a/packages/fleet/include/teasellead/fleet/crash_exchange.hpp
+++ b/packages/fleet/include/teasellead/fleet/crash_exchange.hpp
@@ -65,7 +65,13 @@
         time_point m_until;
     };
 
-    [[nodiscard]] endpoint coordinator_of(const std::string& name) const;
+    void update_coordinators(const std::vector<endpoint>& candidates);
+    [[nodiscard]] bool is_eligible(const endpoint& node) const;
+    /// the node with the highest score for a name among one node and others
+    [[nodiscard]] endpoint best_coordinator(const std::string& name, const endpoint& first,
+                                            const std::vector<endpoint>& others) const;
+    [[nodiscard]] endpoint choose_coordinator(const std::string& name) const;
+    [[nodiscard]] endpoint coordinator_of_record(const std::string& fingerprint);
     [[nodiscard]] trial_reply decide_trial(const endpoint& requester, const trial_request& wanted,
                                            time_point now);
     void end_lease(const endpoint& holder, const trial_request& ended);
@@ -79,7 +85,8 @@
 
     endpoint m_self;
     forwarding::crash_guard& m_guard;
-    std::vector<endpoint> m_responsive; ///< other nodes that are responsive and aren't leaving
+    std::vector<endpoint> m_responsive; ///< other nodes that are responsive and aren't leaving, sorted
+    std::unordered_map<std::string, endpoint> m_coordinators; ///< by fingerprint of a record
     bool m_is_leaving{false};
     std::unordered_map<std::string, trial_lease> m_leases; ///< by service
     std::vector<outgoing_message> m_messages;
--- a/packages/fleet/src/crash_exchange.cpp
+++ b/packages/fleet/src/crash_exchange.cpp
@@ -42,21 +42,58 @@
             responsive.push_back(each.m_address);
         }
     }
-    // coordinators may have changed
-    if (responsive != m_responsive || is_leaving != m_is_leaving)
+    std::sort(responsive.begin(), responsive.end());
+    if (responsive == m_responsive && is_leaving == m_is_leaving)
     {
-        m_guard.mark_all_changed();
+        return;
     }
+    const bool has_same_role = is_leaving == m_is_leaving;
+    std::vector<endpoint> added;
+    std::set_difference(responsive.begin(), responsive.end(), m_responsive.begin(), m_responsive.end(),
+                        std::back_inserter(added));
     m_responsive = std::move(responsive);
     m_is_leaving = is_leaving;
+    update_coordinators(has_same_role ? added : m_responsive);
+}
+
+/// re-sends the records whose coordinator has changed; views of large fleets change all the time, so that all
+/// other records must be left alone
+void crash_exchange::update_coordinators(const std::vector<endpoint>& candidates)
+{
+    std::unordered_map<std::string, endpoint> next;
+    for (const std::string& fingerprint : m_guard.fingerprints())
+    {
+        const auto known = m_coordinators.find(fingerprint);
+        if (known == m_coordinators.end())
+        {
+            // a new record, which the next tick sends
+            continue;
+        }
+        const endpoint before = known->second;
+        const endpoint now = is_eligible(before) ? best_coordinator(fingerprint, before, candidates)
+                                                 : choose_coordinator(fingerprint);
+        if (now != before)
+        {
+            m_guard.mark_changed(fingerprint);
+        }
+        next.emplace(fingerprint, now);
+    }
+    m_coordinators = std::move(next);
 }
 
-endpoint crash_exchange::coordinator_of(const std::string& name) const
+bool crash_exchange::is_eligible(const endpoint& node) const
+{
+    return node == m_self ? !m_is_leaving
+                          : std::binary_search(m_responsive.begin(), m_responsive.end(), node);
+}
+
+endpoint crash_exchange::best_coordinator(const std::string& name, const endpoint& first,
+                                          const std::vector<endpoint>& others) const
 {
     const std::uint64_t key = hash64(name);
-    endpoint best = m_self;
-    std::uint64_t best_score = m_is_leaving ? 0 : rendezvous_score(key, m_self.packed());
-    for (const endpoint& each : m_responsive)
+    endpoint best = first;
+    std::uint64_t best_score = rendezvous_score(key, first.packed());
+    for (const endpoint& each : others)
     {
         const std::uint64_t score = rendezvous_score(key, each.packed());
         if (score > best_score)
@@ -68,6 +105,20 @@
     return best;
 }
 
+endpoint crash_exchange::choose_coordinator(const std::string& name) const
+{
+    const bool has_other = m_is_leaving && !m_responsive.empty();
+    return best_coordinator(name, has_other ? m_responsive.front() : m_self, m_responsive);
+}
+
+endpoint crash_exchange::coordinator_of_record(const std::string& fingerprint)
+{
+    const auto known = m_coordinators.find(fingerprint);
+    return known != m_coordinators.end()
+               ? known->second
+               : m_coordinators.emplace(fingerprint, choose_coordinator(fingerprint)).first->second;
+}
+
 void crash_exchange::on_message(const endpoint& sender, const crash_notice& content, time_point now)
 {
     for (const forwarding::crash_record& record : content.m_records)
@@ -158,7 +209,7 @@
                                         time_point now)
 {
     const trial_request request{trial.m_trial_id, trial.m_fingerprint, trial.m_service, is_over};
-    const endpoint coordinator = coordinator_of(trial.m_service);
+    const endpoint coordinator = choose_coordinator(trial.m_service);
     if (coordinator != m_self)
     {
         // the coordinator needs the losses to decide on the trial
@@ -196,7 +247,7 @@
     for (const std::string& fingerprint : seen)
     {
         const forwarding::crash_record* const record = m_guard.find(fingerprint);
-        const endpoint coordinator = coordinator_of(fingerprint);
+        const endpoint coordinator = coordinator_of_record(fingerprint);
         if (record != nullptr && coordinator != m_self)
         {
             m_messages.push_back({coordinator, crash_notice{{*record}, false}});
@@ -213,7 +264,8 @@
     for (const std::string& fingerprint : changed)
     {
         const forwarding::crash_record* const record = m_guard.find(fingerprint);
-        if (record != nullptr && m_guard.is_shared(fingerprint) && coordinator_of(fingerprint) == m_self)
+        const bool is_coordinator = record != nullptr && coordinator_of_record(fingerprint) == m_self;
+        if (is_coordinator && m_guard.is_shared(fingerprint))
         {
             records.push_back(*record);
         }
--- a/packages/forwarding/include/teasellead/forwarding/crash_guard.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/crash_guard.hpp
@@ -173,8 +173,11 @@
     /// returns and clears the list of fingerprints whose records changed for any reason
     [[nodiscard]] std::vector<std::string> take_changed();
 
-    /// marks all records as changed, so that they are sent to the other nodes again
-    void mark_all_changed();
+    /// marks a record as changed, so that it is sent to other nodes again
+    void mark_changed(const std::string& fingerprint);
+
+    /// fingerprints of all records
+    [[nodiscard]] std::vector<std::string> fingerprints() const;
 
     /// records to be sent to a node that may have missed changes
     [[nodiscard]] std::vector<crash_record> shared_records() const;
--- a/packages/forwarding/src/crash_guard.cpp
+++ b/packages/forwarding/src/crash_guard.cpp
@@ -408,13 +408,21 @@
     return std::exchange(m_locally_changed, {});
 }
 
-void crash_guard::mark_all_changed()
+void crash_guard::mark_changed(const std::string& fingerprint)
 {
+    m_locally_changed.push_back(fingerprint);
+    m_changed.push_back(fingerprint);
+}
+
+std::vector<std::string> crash_guard::fingerprints() const
+{
+    std::vector<std::string> result;
+    result.reserve(m_requests.size());
     for (const auto& [fingerprint, request] : m_requests)
     {
-        m_locally_changed.push_back(fingerprint);
-        m_changed.push_back(fingerprint);
+        result.push_back(fingerprint);
     }
+    return result;
 }
 
 std::vector<std::string> crash_guard::take_changed()
--- a/tests/unit/fleet/unit-crash-exchange.cpp
+++ b/tests/unit/fleet/unit-crash-exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -57,6 +58,32 @@
         m_cut = std::move(numbers);
     }
 
+    /// makes one node look unresponsive to the others until the members are updated again
+    void suspect(std::uint32_t number)
+    {
+        m_suspected = number;
+        update_members();
+        m_suspected.reset();
+    }
+
+    void update_members()
+    {
+        for (auto& [number, each] : m_nodes)
+        {
+            std::vector<peer_status> others;
+            for (const auto& [other, ignored] : m_nodes)
+            {
+                if (other != number)
+                {
+                    const bool is_unresponsive =
+                        m_cut.count(other) != m_cut.count(number) || m_suspected == other;
+                    others.push_back({address_of(other), 1, is_unresponsive, false});
+                }
+            }
+            each->m_exchange.on_members(others, false);
+        }
+    }
+
     /// updates the members so that nodes on different sides of the partition are unresponsive to each other
     void notice_cut()
     {
@@ -70,7 +97,12 @@
 
     void lose(std::uint32_t number, int upstream, bool in_isolation)
     {
-        guard(number).on_lost(request, service, process_of(upstream), in_isolation, m_now);
+        lose(number, request, upstream, in_isolation);
+    }
+
+    void lose(std::uint32_t number, const std::string& fingerprint, int upstream, bool in_isolation)
+    {
+        guard(number).on_lost(fingerprint, service, process_of(upstream), in_isolation, m_now);
     }
 
     void end_upstreams(int count)
@@ -154,23 +186,6 @@
         return {1000 + number, 7000};
     }
 
-    void update_members()
-    {
-        for (auto& [number, each] : m_nodes)
-        {
-            std::vector<peer_status> others;
-            for (const auto& [other, ignored] : m_nodes)
-            {
-                if (other != number)
-                {
-                    const bool is_unresponsive = m_cut.count(other) != m_cut.count(number);
-                    others.push_back({address_of(other), 1, is_unresponsive, false});
-                }
-            }
-            each->m_exchange.on_members(others, false);
-        }
-    }
-
     void deliver()
     {
         for (bool has_sent = true; has_sent;)
@@ -212,6 +227,7 @@
     random_source m_random{3};
     std::map<std::uint32_t, std::unique_ptr<node>> m_nodes;
     std::set<std::uint32_t> m_cut;
+    std::optional<std::uint32_t> m_suspected;
     std::size_t m_messages{0};
 };
 
@@ -224,6 +240,7 @@
     CPPUNIT_TEST(node_receives_a_refusal_after_a_partition);
     CPPUNIT_TEST(reply_at_any_node_clears_everywhere);
     CPPUNIT_TEST(fleet_without_changes_sends_no_messages);
+    CPPUNIT_TEST(flapping_nodes_cause_few_messages);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -315,6 +332,41 @@
         CPPUNIT_ASSERT(fleet.messages() <= at_start + 1);
     }
 
+    // In large fleets some node always looks unresponsive for a moment. Guards against sending all records
+    // again for each of them, which costs records times nodes times changes.
+    void flapping_nodes_cause_few_messages()
+    {
+        constexpr int records = 50;
+        constexpr std::uint32_t flaps = 20;
+        for (const std::uint32_t nodes : {10U, 88U, 300U})
+        {
+            exchange_fleet fleet{nodes};
+            for (int record = 0; record < records; ++record)
+            {
+                const std::string fingerprint = std::to_string(record);
+                fleet.lose(static_cast<std::uint32_t>(record) % nodes, fingerprint, 0, false);
+                fleet.lose(static_cast<std::uint32_t>(record + 1) % nodes, fingerprint, 1, false);
+            }
+            fleet.run_for(1s);
+            const std::size_t before = fleet.messages();
+            for (std::uint32_t flapping = 0; flapping < flaps; ++flapping)
+            {
+                fleet.suspect(flapping % nodes);
+                fleet.run_for(300ms);
+                fleet.update_members();
+                fleet.run_for(300ms);
+            }
+            const std::size_t sent = fleet.messages() - before;
+            // each flap moves the records of one coordinator there and back; gossip sends one message a
+            // second
+            const double per_node = static_cast<double>(sent) / nodes;
+            const double moved = 4.0 * flaps * records / nodes;
+            constexpr double gossip = 0.6 * flaps + 2.0;
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(nodes) + " nodes: " + std::to_string(per_node) + " a node",
+                                   per_node <= moved + gossip);
+        }
+    }
+
   private:
     static void isolate(exchange_fleet& fleet)
     {
