Give each data centre its own part of an account's limit

Hypothesis: honest accounts get 429 while the only bucket's holder is cut off or was killed, since a new bucket may give little until the old one can't exist. If each data centre holds an equal part, a cut between data centres needs no doubt at all, and the loss of a holder leaves the other parts.

Change: the bound is divided evenly over the data centres of the settings (zones). A node asks its own data centre, then the others (token_sources); one that doesn't reply is left for a second.

--- a/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
@@ -13,6 +13,8 @@
 #include "teasellead/fleet/messages.hpp"
 #include "teasellead/fleet/quota_bucket.hpp"
 #include "teasellead/fleet/quota_members.hpp"
+#include "teasellead/fleet/remote_members.hpp"
+#include "teasellead/fleet/token_sources.hpp"
 #include "teasellead/forwarding/route.hpp"
 #include "teasellead/forwarding/sliding_count.hpp"
 #include "teasellead/kernel/clock.hpp"
@@ -56,13 +58,25 @@
     friend bool operator==(const quota_decision&, const quota_decision&) = default;
 };
 
+/// division of the limits into equal parts, one for each data centre; must be the same on all nodes
+struct limit_parts
+{
+    data_centre_id m_data_centre{0}; ///< data centre of this node
+    std::size_t m_data_centres{1};   ///< number of data centres; with 1, all nodes share a single bucket
+
+    friend bool operator==(const limit_parts&, const limit_parts&) = default;
+};
+
 /*!
 @brief enforces the limits of accounts over all nodes
 
-One node holds the token bucket of an account (@ref bucket_ownership) and grants tokens to the others. A node
-prefetches the tokens for a short time, so most requests don't wait. A node that can't reach the holder admits
-a small fraction of what the account's bound leaves unused. A state machine without I/O. Not safe for use by
-several threads.
+Each data centre holds an equal part of an account's limit in one token bucket. One of its nodes holds that
+bucket
+(@ref bucket_ownership) and grants tokens to all nodes that ask. A node asks its own data centre first and the
+others (@ref token_sources) while it gets nothing there, so the loss of a holder, or of all nodes of a data
+centre, costs only that part. A node prefetches the tokens for a short time, so most requests don't wait. A
+node that reaches no holder admits a small fraction of what the account's bound leaves unused. A state machine
+without I/O. Not safe for use by several threads.
 */
 class quota_ledger
 {
@@ -72,8 +86,9 @@
 
     @param[in] self   address of this node
     @param[in] bound  bound of the requests that all nodes together may admit
+    @param[in] parts  the data centres that share the limits
     */
-    quota_ledger(endpoint self, account_bound bound);
+    quota_ledger(endpoint self, account_bound bound, limit_parts parts = {});
 
     /// applies the limits of a new revision
     void on_declarations(const std::vector<forwarding::account>& accounts, time_point now);
@@ -145,6 +160,7 @@
     {
         std::uint64_t m_number{0};
         endpoint m_receiver;
+        token_sources::index m_source{token_sources::local};
         std::uint32_t m_tokens{0};
         time_point m_sent_at;
         int m_redirections{0};
@@ -154,19 +170,20 @@
 
     struct account_state
     {
-        account_state(std::uint64_t key, duration window) : m_ownership(key), m_fallback(window)
+        account_state(std::uint64_t key, duration window)
+            : m_ownership(key), m_sources(key), m_fallback(window)
         {
         }
 
         double m_rate{0.0};             ///< declared limit; 0 for no limit
-        bucket_parameters m_parameters; ///< parameters of a bucket with the whole limit
+        bucket_parameters m_parameters; ///< parameters of the bucket of this node's data centre
         bucket_ownership m_ownership;
+        token_sources m_sources;
         double m_total_fallback{0.0}; ///< requests that all nodes may admit in a window without a bucket
         /// requests that this node admitted without a bucket
         forwarding::sliding_count<fallback_slots> m_fallback;
         double m_prefetched{0.0}; ///< prefetched tokens
         time_point m_prefetched_until{};
-        time_point m_refused_until{};
         double m_demand{0.0}; ///< moving average of the requests a second at this node
         time_point m_last_request{};
         std::deque<waiting_request> m_waiting;
@@ -175,23 +192,35 @@
     };
 
     [[nodiscard]] ownership_context context_of(const std::string& name, time_point now);
+    [[nodiscard]] bucket_parameters part_parameters(double rate, double burst) const;
     void detect_stall(time_point now);
     void update_demand(account_state& state, time_point now) const;
-    [[nodiscard]] quota_answer take_from_bucket(account_state& state, time_point now);
-    void request_tokens(const std::string& name, account_state& state, int redirections, time_point now);
+    [[nodiscard]] bool take_prefetched(const std::string& name, account_state& state, time_point now);
+    [[nodiscard]] bool take_from_bucket(account_state& state, time_point now);
+    [[nodiscard]] double take_waiting_from_bucket(account_state& state, time_point now);
+    [[nodiscard]] std::optional<token_sources::index> next_source(account_state& state, time_point now) const;
+    void request_tokens(const std::string& name, account_state& state, time_point now);
+    void send_token_request(const std::string& name, account_state& state, token_sources::index source,
+                            int redirections, time_point now);
     void on_no_reply(const std::string& name, account_state& state, time_point now);
     void on_ownership_change(const std::string& name, account_state& state, time_point now);
+    void on_search_end(const std::string& name, account_state& state, time_point now);
+    void on_redirection(const std::string& name, account_state& state, const token_call& answered,
+                        const endpoint& sender, const endpoint& holder, time_point now);
     void send_grant(const std::string& name, account_state& state, const waiting_node& requester,
                     time_point now);
     /// removes and returns a request's decision if it was made while the request was being processed
     [[nodiscard]] std::optional<quota_answer> take_decision(quota_ticket ticket);
-    [[nodiscard]] double grant_waiting(account_state& state, double tokens);
-    void complete_waiting(account_state& state, double tokens, duration retry_after, time_point now);
-    void decide_from_bucket(account_state& state, time_point now);
-    void decide_without_bucket(account_state& state, time_point now);
+    void grant_waiting(account_state& state, double tokens, time_point now);
+    void refuse_waiting(account_state& state, duration retry_after);
+    [[nodiscard]] double take_fallback(account_state& state, double wanted, time_point now) const;
+    void decide_without_source(account_state& state, time_point now);
 
     account_bound m_bound;
-    quota_members m_members;
+    limit_parts m_parts;
+    quota_members m_members; ///< the nodes that may hold the buckets of this node's data centre
+    remote_members m_remote;
+    std::size_t m_nodes{1}; ///< number of nodes of all data centres
     std::optional<time_point> m_started_at;
     std::optional<time_point> m_last_tick;
     std::uint64_t m_last_call{0};
--- a/packages/fleet/include/teasellead/fleet/quota_members.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_members.hpp
@@ -18,6 +18,7 @@
     std::size_t m_expected{1};         ///< lower estimate of the number of nodes, this one included
     bool m_is_converged{false};        ///< whether this node has been up for long enough to know most others
     bool m_is_leaving{false};          ///< whether this node is about to stop
+    std::size_t m_expected_local{1};   ///< as m_expected, for the nodes of this node's data centre
 
     friend bool operator==(const member_view&, const member_view&) = default;
 };
--- a/packages/fleet/include/teasellead/fleet/roster.hpp
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -137,6 +137,9 @@
     */
     [[nodiscard]] std::size_t expected_nodes(time_point now) const;
 
+    /// the same for the nodes of this node's data centre, of which any seed without a record may be one
+    [[nodiscard]] std::size_t expected_local_nodes(time_point now) const;
+
     /// addresses that may receive notices: the counted nodes and the seeds
     [[nodiscard]] std::vector<endpoint> receivers(time_point now) const;
 
@@ -157,6 +160,8 @@
     };
 
     [[nodiscard]] bool is_counted(const known_node& node, time_point now) const;
+    /// number of nodes that are counted for seeds without a record
+    [[nodiscard]] std::size_t assumed_nodes(time_point now) const;
     void update_node_timeout(time_point now);
     [[nodiscard]] std::vector<endpoint> next_receivers(random_source& random, time_point now);
     [[nodiscard]] std::optional<endpoint> next_receiver(std::vector<endpoint>& queue, bool is_local,
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -23,17 +23,19 @@
 constexpr milliseconds reply_timeout{40};
 // longest wait for a token; then the node decides without a bucket, however often the holder has changed
 constexpr milliseconds max_wait{100};
+// time for which a data centre that hasn't replied isn't asked again
+constexpr milliseconds silence_time{1000};
 constexpr int max_redirections = 3;
-constexpr std::size_t max_waiting_nodes = 128;
 // other nodes may replace a holder that was stalled for longer
 constexpr milliseconds max_stall{600};
 constexpr milliseconds min_retry_after = quota_bucket::min_retry_after;
-// time after which a refused request may be retried while no node holds the bucket
+// time after which a refused request may be retried while no data centre replies
 constexpr milliseconds retry_without_bucket{200};
 
 } // namespace
 
-quota_ledger::quota_ledger(endpoint self, account_bound bound) : m_bound(bound), m_members(self)
+quota_ledger::quota_ledger(endpoint self, account_bound bound, limit_parts parts)
+    : m_bound(bound), m_parts(std::move(parts)), m_members(self), m_remote(self)
 {
 }
 
@@ -42,6 +44,14 @@
     return {m_members, name, now, m_messages};
 }
 
+bucket_parameters quota_ledger::part_parameters(double rate, double burst) const
+{
+    const auto parts = static_cast<double>(m_parts.m_data_centres);
+    account_bound bound = m_bound;
+    bound.m_slack /= parts;
+    return full_bucket_parameters(bound, rate / parts, burst / parts, token_lifetime, lookahead);
+}
+
 void quota_ledger::on_declarations(const std::vector<forwarding::account>& accounts, time_point now)
 {
     if (!m_started_at)
@@ -64,15 +74,14 @@
             m_accounts.erase(known);
         }
         state.m_rate = each.m_rate;
-        state.m_parameters =
-            full_bucket_parameters(m_bound, each.m_rate, each.m_burst, token_lifetime, lookahead);
+        state.m_parameters = part_parameters(each.m_rate, each.m_burst);
         state.m_total_fallback = total_fallback(m_bound, each.m_rate, each.m_burst);
         next.emplace(each.m_name, std::move(state));
     }
     // refuse the waiting requests of accounts that are no longer declared
     for (auto& [name, state] : m_accounts)
     {
-        complete_waiting(state, 0.0, min_retry_after, now);
+        refuse_waiting(state, min_retry_after);
     }
     m_accounts = std::move(next);
     for (auto& [name, state] : m_accounts)
@@ -84,6 +93,16 @@
 
 void quota_ledger::on_members(member_view view, time_point now)
 {
+    m_nodes = std::max(view.m_others.size() + 1, view.m_expected);
+    if (m_parts.m_data_centres > 1)
+    {
+        const auto first_remote = std::stable_partition(
+            view.m_others.begin(), view.m_others.end(),
+            [this](const peer_status& each) { return each.m_data_centre == m_parts.m_data_centre; });
+        m_remote.update({first_remote, view.m_others.end()});
+        view.m_others.erase(first_remote, view.m_others.end());
+        view.m_expected = view.m_expected_local;
+    }
     if (!m_members.update(std::move(view), now))
     {
         return;
@@ -118,16 +137,36 @@
     state.m_last_request = now;
 }
 
-quota_answer quota_ledger::take_from_bucket(account_state& state, time_point now)
+bool quota_ledger::take_from_bucket(account_state& state, time_point now)
 {
     quota_bucket& bucket = state.m_ownership.refilled(state.m_parameters, m_members, now);
     if (bucket.available() >= 1.0)
     {
         bucket.take(1.0);
-        return quota_granted{};
+        return true;
     }
     bucket.record_refusal();
-    return quota_refused{bucket.wait(state.m_parameters.m_rate)};
+    state.m_sources.on_refusal(token_sources::local, now + bucket.wait(state.m_parameters.m_rate));
+    return false;
+}
+
+bool quota_ledger::take_prefetched(const std::string& name, account_state& state, time_point now)
+{
+    if (now >= state.m_prefetched_until)
+    {
+        state.m_prefetched = 0.0;
+    }
+    if (state.m_prefetched < 1.0)
+    {
+        return false;
+    }
+    state.m_prefetched -= 1.0;
+    const bool is_short = state.m_prefetched < 1.0 && state.m_demand * seconds_of(lookahead) >= 1.0;
+    if (is_short && !state.m_call)
+    {
+        request_tokens(name, state, now);
+    }
+    return true;
 }
 
 quota_answer quota_ledger::request(const std::string& name, quota_ticket ticket, time_point now)
@@ -147,33 +186,17 @@
         detect_stall(now);
     }
     update_demand(state, now);
-    if (state.m_ownership.is_held())
-    {
-        return take_from_bucket(state, now);
-    }
-    if (now >= state.m_prefetched_until)
-    {
-        state.m_prefetched = 0.0;
-    }
-    if (state.m_prefetched >= 1.0)
+    const bool is_granted =
+        (state.m_ownership.is_held() && take_from_bucket(state, now)) || take_prefetched(name, state, now);
+    if (is_granted)
     {
-        state.m_prefetched -= 1.0;
-        const bool is_short = state.m_prefetched < 1.0 && state.m_demand * seconds_of(lookahead) >= 1.0;
-        if (is_short && !state.m_call)
-        {
-            request_tokens(name, state, 0, now);
-        }
         return quota_granted{};
     }
-    if (now < state.m_refused_until)
-    {
-        return quota_refused{std::max<duration>(state.m_refused_until - now, min_retry_after)};
-    }
     state.m_waiting.push_back({ticket, now});
     ++m_waiting;
     if (!state.m_call)
     {
-        request_tokens(name, state, 0, now);
+        request_tokens(name, state, now);
     }
     return take_decision(ticket).value_or(quota_pending{});
 }
@@ -201,14 +224,35 @@
     }
 }
 
-void quota_ledger::request_tokens(const std::string& name, account_state& state, int redirections,
-                                  time_point now)
+std::optional<token_sources::index> quota_ledger::next_source(account_state& state, time_point now) const
+{
+    state.m_sources.on_members(m_remote);
+    const bool skips_local = state.m_ownership.is_searching();
+    return state.m_sources.next(skips_local, now);
+}
+
+void quota_ledger::request_tokens(const std::string& name, account_state& state, time_point now)
 {
     state.m_ownership.update(state.m_parameters, context_of(name, now));
-    const endpoint receiver = state.m_ownership.target(context_of(name, now));
+    if (const auto source = next_source(state, now))
+    {
+        send_token_request(name, state, *source, 0, now);
+    }
+    else
+    {
+        decide_without_source(state, now);
+    }
+}
+
+void quota_ledger::send_token_request(const std::string& name, account_state& state,
+                                      token_sources::index source, int redirections, time_point now)
+{
+    const endpoint receiver = source == token_sources::local ? state.m_ownership.target(context_of(name, now))
+                                                             : state.m_sources.target(source, now);
     const double ahead = std::min(std::floor(state.m_demand * seconds_of(lookahead)), max_lookahead_tokens);
     const double wanted = std::max(1.0, static_cast<double>(state.m_waiting.size()) + ahead);
-    state.m_call = token_call{++m_last_call, receiver, static_cast<std::uint32_t>(wanted), now, redirections};
+    state.m_call =
+        token_call{++m_last_call, receiver, source, static_cast<std::uint32_t>(wanted), now, redirections};
     if (receiver != m_members.self())
     {
         m_messages.push_back({receiver, token_request{m_last_call, name, state.m_call->m_tokens}});
@@ -227,149 +271,75 @@
     {
         send_grant(name, state, requester, now);
     }
-    if (!state.m_call || state.m_call->m_receiver != m_members.self())
+    if (state.m_call && state.m_call->m_receiver == m_members.self())
     {
-        return;
+        on_search_end(name, state, now);
     }
-    // this node's own requests have waited for the search to end
-    const int redirections = state.m_call->m_redirections + 1;
-    state.m_call.reset();
+}
+
+/// decides on this node's own requests, which have waited for the end of the search for the bucket
+void quota_ledger::on_search_end(const std::string& name, account_state& state, time_point now)
+{
+    const int redirections = std::exchange(state.m_call, std::nullopt)->m_redirections + 1;
     if (state.m_ownership.is_held())
     {
-        decide_from_bucket(state, now);
+        grant_waiting(state, take_waiting_from_bucket(state, now), now);
+        if (!state.m_waiting.empty())
+        {
+            request_tokens(name, state, now);
+        }
     }
     else if (redirections > max_redirections)
     {
-        decide_without_bucket(state, now);
+        decide_without_source(state, now);
     }
     else if (!state.m_waiting.empty())
     {
-        request_tokens(name, state, redirections, now);
+        send_token_request(name, state, token_sources::local, redirections, now);
     }
 }
 
-void quota_ledger::send_grant(const std::string& name, account_state& state, const waiting_node& requester,
-                              time_point now)
+double quota_ledger::take_waiting_from_bucket(account_state& state, time_point now)
 {
-    token_grant grant{requester.m_request.m_call, name, 0, milliseconds{0}, std::nullopt};
-    if (!state.m_ownership.is_held())
-    {
-        grant.m_retry_after = retry_without_bucket;
-        grant.m_holder = state.m_ownership.target(context_of(name, now));
-        m_messages.push_back({requester.m_address, std::move(grant)});
-        return;
-    }
     quota_bucket& bucket = state.m_ownership.refilled(state.m_parameters, m_members, now);
-    const double given = std::min<double>(requester.m_request.m_tokens, bucket.available());
-    bucket.take(given);
-    grant.m_tokens = static_cast<std::uint32_t>(given);
-    if (given < 1.0)
-    {
-        bucket.record_refusal();
-        grant.m_retry_after = std::chrono::ceil<milliseconds>(bucket.wait(state.m_parameters.m_rate));
-    }
-    m_messages.push_back({requester.m_address, std::move(grant)});
-}
-
-void quota_ledger::on_message(const endpoint& sender, const token_request& content, time_point now)
-{
-    const auto found = m_accounts.find(content.m_client_account);
-    if (found == m_accounts.end() || found->second.m_rate <= 0.0)
-    {
-        // this node doesn't know the account yet; without a reply the sender decides without a bucket
-        return;
-    }
-    if (m_last_tick)
-    {
-        detect_stall(now);
-    }
-    const std::string& name = found->first;
-    account_state& state = found->second;
-    if (!state.m_ownership.is_held())
-    {
-        state.m_ownership.update(state.m_parameters, context_of(name, now));
-    }
-    const waiting_node requester{sender, content, now};
-    if (!state.m_ownership.is_searching())
-    {
-        send_grant(name, state, requester, now);
-    }
-    else if (state.m_waiting_nodes.size() < max_waiting_nodes)
+    const auto waiting = static_cast<double>(state.m_waiting.size());
+    const double taken = std::min(bucket.available(), waiting);
+    bucket.take(taken);
+    if (taken < waiting)
     {
-        state.m_waiting_nodes.push_back(requester);
+        state.m_sources.on_refusal(token_sources::local, now + bucket.wait(state.m_parameters.m_rate));
     }
+    return taken;
 }
 
-void quota_ledger::on_message(const endpoint& sender, const token_grant& content, time_point now)
+void quota_ledger::on_no_reply(const std::string& name, account_state& state, time_point now)
 {
-    const auto found = m_accounts.find(content.m_client_account);
-    if (found == m_accounts.end())
-    {
-        return;
-    }
-    const std::string& name = found->first;
-    account_state& state = found->second;
-    if (!state.m_call || state.m_call->m_number != content.m_call || state.m_call->m_receiver != sender)
-    {
-        return;
-    }
-    const token_call answered = *std::exchange(state.m_call, std::nullopt);
-    if (content.m_holder && content.m_tokens == 0)
+    const bool is_overdue = !state.m_waiting.empty() && now - state.m_waiting.front().m_asked_at >= max_wait;
+    if (!is_overdue && now - state.m_call->m_sent_at < reply_timeout)
     {
-        state.m_ownership.on_holder_hint(sender, *content.m_holder, context_of(name, now));
-        if (answered.m_redirections < max_redirections)
-        {
-            request_tokens(name, state, answered.m_redirections + 1, now);
-        }
-        else
-        {
-            decide_without_bucket(state, now);
-        }
         return;
     }
-    const bool is_exhausted = content.m_tokens < answered.m_tokens;
-    if (is_exhausted || content.m_tokens >= state.m_waiting.size())
+    const token_call unanswered = *std::exchange(state.m_call, std::nullopt);
+    const bool is_own_search = unanswered.m_receiver == m_members.self();
+    if (unanswered.m_source == token_sources::local && !is_own_search)
     {
-        complete_waiting(state, content.m_tokens, content.m_retry_after, now);
-        return;
+        state.m_ownership.discard_holder();
     }
-    // more requests have arrived since the tokens were requested
-    (void)grant_waiting(state, content.m_tokens);
-    request_tokens(name, state, 0, now);
-}
-
-void quota_ledger::on_message(const endpoint& sender, const bucket_request& content, time_point now)
-{
-    const auto found = m_accounts.find(content.m_client_account);
-    if (found == m_accounts.end())
+    if (m_parts.m_data_centres > 1)
     {
-        // this node has no bucket for an account that it doesn't know
-        m_messages.push_back({sender, bucket_reply{content.m_call, content.m_client_account, false, 0.0,
-                                                   std::nullopt, m_members.is_converged()}});
-        return;
+        state.m_sources.on_silence(unanswered.m_source, now + silence_time);
     }
-    if (m_last_tick)
+    if (is_overdue)
     {
-        detect_stall(now);
+        decide_without_source(state, now);
     }
-    account_state& state = found->second;
-    state.m_ownership.on_message(sender, content, state.m_parameters, context_of(found->first, now));
-    on_ownership_change(found->first, state, now);
-}
-
-void quota_ledger::on_message(const endpoint& sender, const bucket_reply& content, time_point now)
-{
-    const auto found = m_accounts.find(content.m_client_account);
-    if (found == m_accounts.end())
+    else if (!state.m_waiting.empty())
     {
-        return;
+        request_tokens(name, state, now);
     }
-    account_state& state = found->second;
-    state.m_ownership.on_message(sender, content, state.m_parameters, context_of(found->first, now));
-    on_ownership_change(found->first, state, now);
 }
 
-double quota_ledger::grant_waiting(account_state& state, double tokens)
+void quota_ledger::grant_waiting(account_state& state, double tokens, time_point now)
 {
     while (!state.m_waiting.empty() && tokens >= 1.0)
     {
@@ -378,72 +348,44 @@
         state.m_waiting.pop_front();
         --m_waiting;
     }
-    return tokens;
-}
-
-void quota_ledger::complete_waiting(account_state& state, double tokens, duration retry_after, time_point now)
-{
-    tokens = grant_waiting(state, tokens);
     if (tokens >= 1.0)
     {
         state.m_prefetched += tokens;
         state.m_prefetched_until = now + token_lifetime;
-        return;
     }
-    if (state.m_waiting.empty())
-    {
-        return;
-    }
-    const duration wait = std::max<duration>(retry_after, min_retry_after);
+}
+
+void quota_ledger::refuse_waiting(account_state& state, duration retry_after)
+{
     for (const waiting_request& each : state.m_waiting)
     {
-        m_decisions.push_back({each.m_ticket, false, wait});
+        m_decisions.push_back({each.m_ticket, false, std::max<duration>(retry_after, min_retry_after)});
     }
     m_waiting -= state.m_waiting.size();
     state.m_waiting.clear();
-    state.m_refused_until = now + wait;
-}
-
-void quota_ledger::decide_from_bucket(account_state& state, time_point now)
-{
-    quota_bucket& bucket = state.m_ownership.refilled(state.m_parameters, m_members, now);
-    const double used = std::min(bucket.available(), static_cast<double>(state.m_waiting.size()));
-    bucket.take(used);
-    complete_waiting(state, used, bucket.wait(state.m_parameters.m_rate), now);
 }
 
-void quota_ledger::decide_without_bucket(account_state& state, time_point now)
+double quota_ledger::take_fallback(account_state& state, double wanted, time_point now) const
 {
     // the number of requests that an earlier process admitted within the window isn't known
     const bool has_just_started = !m_started_at || now - *m_started_at < m_bound.m_window + token_lifetime;
-    const double part = state.m_total_fallback / static_cast<double>(m_members.size());
+    const double part = state.m_total_fallback / static_cast<double>(m_nodes);
     const double left =
         has_just_started ? 0.0 : std::floor(part - static_cast<double>(state.m_fallback.total(now)));
-    const double used = std::clamp(left, 0.0, static_cast<double>(state.m_waiting.size()));
-    state.m_fallback.add(now, static_cast<std::uint64_t>(used));
-    complete_waiting(state, used, retry_without_bucket, now);
+    const double taken = std::clamp(left, 0.0, wanted);
+    state.m_fallback.add(now, static_cast<std::uint64_t>(taken));
+    return taken;
 }
 
-void quota_ledger::on_no_reply(const std::string& name, account_state& state, time_point now)
+void quota_ledger::decide_without_source(account_state& state, time_point now)
 {
-    const bool is_overdue = !state.m_waiting.empty() && now - state.m_waiting.front().m_asked_at >= max_wait;
-    if (!is_overdue && now - state.m_call->m_sent_at < reply_timeout)
-    {
-        return;
-    }
-    const token_call unanswered = *std::exchange(state.m_call, std::nullopt);
-    if (unanswered.m_receiver != m_members.self())
-    {
-        state.m_ownership.discard_holder();
-    }
-    if (is_overdue)
-    {
-        decide_without_bucket(state, now);
-    }
-    else if (!state.m_waiting.empty())
+    const bool has_silent = state.m_sources.has_silent(now) || m_parts.m_data_centres == 1;
+    if (has_silent)
     {
-        request_tokens(name, state, unanswered.m_redirections, now);
+        grant_waiting(state, take_fallback(state, static_cast<double>(state.m_waiting.size()), now), now);
     }
+    const time_point available_at = state.m_sources.available_at();
+    refuse_waiting(state, available_at > now ? available_at - now : retry_without_bucket);
 }
 
 void quota_ledger::on_tick(time_point now)
--- a/packages/fleet/src/roster.cpp
+++ b/packages/fleet/src/roster.cpp
@@ -227,10 +227,24 @@
     return !has_converged(now) ? std::max(nodes, m_settings.m_min_nodes_at_start) : nodes;
 }
 
-std::size_t roster::expected_nodes(time_point now) const
+std::size_t roster::assumed_nodes(time_point now) const
 {
     const bool may_be_partitioned = now - m_started_at < m_settings.m_partition_timeout;
-    return m_nodes.size() + 1 + (may_be_partitioned ? nodes_per_missing_seed * m_missing_seeds.size() : 0);
+    return may_be_partitioned ? nodes_per_missing_seed * m_missing_seeds.size() : 0;
+}
+
+std::size_t roster::expected_nodes(time_point now) const
+{
+    return m_nodes.size() + 1 + assumed_nodes(now);
+}
+
+std::size_t roster::expected_local_nodes(time_point now) const
+{
+    const auto local =
+        std::count_if(m_nodes.begin(), m_nodes.end(),
+                      [this](const auto& entry)
+                      { return entry.second.m_record.m_data_centre == m_own_record.m_data_centre; });
+    return static_cast<std::size_t>(local) + 1 + assumed_nodes(now);
 }
 
 std::size_t roster::recent_nodes(time_point now)
@@ -273,8 +287,8 @@
         if (is_counted(node, now))
         {
             const bool is_unresponsive = now - node.m_updated_at > max_age;
-            result.push_back(
-                {address, node.m_record.m_incarnation, is_unresponsive, node.m_record.m_leaving});
+            result.push_back({address, node.m_record.m_incarnation, is_unresponsive, node.m_record.m_leaving,
+                              data_centre_id_of(node.m_record.m_data_centre)});
         }
     }
     return result;
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -62,7 +62,8 @@
       m_configuration_lease(platform.settings().m_max_configuration_age),
       m_cold_starts(platform.settings().m_peer_address), m_directory(platform.settings().m_data_centre),
       m_crash_exchange(platform.settings().m_peer_address, m_crashes),
-      m_quotas(platform.settings().m_peer_address, platform.settings().m_account_bound),
+      m_quotas(platform.settings().m_peer_address, platform.settings().m_account_bound,
+               {data_centre_id_of(platform.settings().m_data_centre), platform.settings().m_data_centres}),
       m_members(platform.settings().m_peer_address, platform.settings().m_data_centre, incarnation,
                 platform.settings().m_seeds, roster_settings{}, clock.now()),
       m_dispatch_context{m_directory,
@@ -185,7 +186,8 @@
     const std::vector<endpoint> peers = m_members.peers(now);
     const std::vector<peer_status> statuses = m_members.peer_statuses(now);
     m_crash_exchange.on_members(statuses, m_is_leaving);
-    m_quotas.on_members({statuses, m_members.expected_nodes(now), m_members.has_agreed(now), m_is_leaving},
+    m_quotas.on_members({statuses, m_members.expected_nodes(now), m_members.has_agreed(now), m_is_leaving,
+                         m_members.expected_local_nodes(now)},
                         now);
     m_cold_starts.on_members(peers, m_members.has_converged(now));
     if (counted != m_logged_node_count)
--- a/tests/support/limiting_fleet.hpp
+++ b/tests/support/limiting_fleet.hpp
@@ -22,9 +22,10 @@
 struct limiting_node
 {
     limiting_node(const endpoint& address, const std::vector<endpoint>& seeds, node_incarnation incarnation,
-                  const account_bound& bound, const forwarding::account& account, time_point now)
-        : m_roster(address, "north", incarnation, seeds, roster_settings{}, now), m_ledger(address, bound),
-          m_next_tick(now)
+                  const account_bound& bound, const std::string& data_centre, std::size_t data_centres,
+                  const forwarding::account& account, time_point now)
+        : m_roster(address, data_centre, incarnation, seeds, roster_settings{}, now),
+          m_ledger(address, bound, {data_centre_id_of(data_centre), data_centres}), m_next_tick(now)
     {
         m_ledger.on_declarations({account}, now);
     }
@@ -49,8 +50,9 @@
     static constexpr account_bound bound{std::chrono::seconds{5}, 0.25, 20.0};
     static constexpr const char* account_name = "school";
 
-    limiting_fleet(std::size_t nodes, forwarding::account account, std::uint64_t seed)
-        : m_count(nodes), m_account(std::move(account)), m_random(seed)
+    limiting_fleet(std::size_t nodes, forwarding::account account, std::uint64_t seed,
+                   std::size_t data_centres = 1)
+        : m_count(nodes), m_data_centres(data_centres), m_account(std::move(account)), m_random(seed)
     {
         kill_first(nodes);
     }
@@ -169,6 +171,23 @@
         return m_count;
     }
 
+    /// the data centres have adjacent nodes, so that each of the seeds is in another one
+    [[nodiscard]] std::size_t data_centre_of(std::size_t node) const noexcept
+    {
+        return node * m_data_centres / m_count;
+    }
+
+    /// separates the nodes of a data centre from all others
+    void cut_data_centre(std::size_t data_centre)
+    {
+        std::vector<std::size_t> groups;
+        for (std::size_t node = 0; node < m_count; ++node)
+        {
+            groups.push_back(data_centre_of(node) == data_centre ? 1 : 0);
+        }
+        cut(std::move(groups));
+    }
+
   private:
     static constexpr duration step = std::chrono::milliseconds{2};
     static constexpr duration link_delay = std::chrono::milliseconds{2};
@@ -200,6 +219,21 @@
         return address.address() - first_host;
     }
 
+    /// the first node of each of three data centres, or three nodes of the only one
+    [[nodiscard]] std::vector<endpoint> seed_addresses() const
+    {
+        if (m_data_centres == 1)
+        {
+            return {address_of(0), address_of(m_count / 3), address_of(m_count / 2)};
+        }
+        std::vector<endpoint> result;
+        for (std::size_t each = 0; each < std::min<std::size_t>(m_data_centres, 3); ++each)
+        {
+            result.push_back(address_of((each * m_count + m_data_centres - 1) / m_data_centres));
+        }
+        return result;
+    }
+
     /// bound on the admissions of a window; limits that were replaced recently may still be in use
     double allowed()
     {
@@ -238,7 +272,7 @@
             m_booting.emplace(each->first, m_now + boot_time);
             each = m_nodes.erase(each);
         }
-        const std::vector<endpoint> seeds{address_of(0), address_of(m_count / 3), address_of(m_count / 2)};
+        const std::vector<endpoint> seeds = seed_addresses();
         for (auto each = m_booting.begin(); each != m_booting.end();)
         {
             if (each->second > m_now)
@@ -247,8 +281,10 @@
                 continue;
             }
             m_frozen.erase(each->first);
-            m_nodes[each->first] =
-                std::make_unique<limiting_node>(each->first, seeds, ++m_incarnation, bound, m_account, m_now);
+            m_nodes[each->first] = std::make_unique<limiting_node>(
+                each->first, seeds, ++m_incarnation, bound,
+                "dc-" + std::to_string(data_centre_of(number_of(each->first))), m_data_centres, m_account,
+                m_now);
             each = m_booting.erase(each);
         }
     }
@@ -278,7 +314,8 @@
     void update(limiting_node& node) const
     {
         node.m_ledger.on_members({node.m_roster.peer_statuses(m_now), node.m_roster.expected_nodes(m_now),
-                                  node.m_roster.has_agreed(m_now), node.m_is_leaving},
+                                  node.m_roster.has_agreed(m_now), node.m_is_leaving,
+                                  node.m_roster.expected_local_nodes(m_now)},
                                  m_now);
     }
 
@@ -387,6 +424,7 @@
     static constexpr std::uint32_t first_host = 10;
 
     std::size_t m_count;
+    std::size_t m_data_centres;
     forwarding::account m_account;
     random_source m_random;
     time_point m_now{start};
--- a/tests/unit/fleet/unit-quota-churn.cpp
+++ b/tests/unit/fleet/unit-quota-churn.cpp
@@ -20,6 +20,7 @@
     double m_rate; ///< declared requests per second
     double m_burst;
     std::uint64_t m_seeds;
+    std::size_t m_data_centres{1};
 };
 
 /// collects the seeds with which the bound was exceeded
@@ -30,8 +31,9 @@
     {
         if (fleet.most_beyond() > 0.0)
         {
-            m_text += std::to_string(each.m_nodes) + " nodes, rate " + std::to_string(each.m_rate) +
-                      ", seed " + std::to_string(seed) + ": " + std::to_string(fleet.most_beyond()) +
+            m_text += std::to_string(each.m_nodes) + " nodes in " + std::to_string(each.m_data_centres) +
+                      " data centres, rate " + std::to_string(each.m_rate) + ", seed " +
+                      std::to_string(seed) + ": " + std::to_string(fleet.most_beyond()) +
                       " above the bound\n";
         }
     }
@@ -100,7 +102,7 @@
         {
             for (std::uint64_t seed = 1; seed <= seeds_of(each); ++seed)
             {
-                limiting_fleet fleet{each.m_nodes, account_of(each), seed};
+                limiting_fleet fleet{each.m_nodes, account_of(each), seed, each.m_data_centres};
                 fleet.run(6s, 0.4 * each.m_rate);
                 fleet.run(3s, load * each.m_rate);
                 for (std::size_t node = 0; node < each.m_nodes; ++node)
@@ -139,7 +141,7 @@
         {
             for (std::uint64_t seed = 1; seed <= seeds_of(each); ++seed)
             {
-                limiting_fleet fleet{each.m_nodes, account_of(each), seed};
+                limiting_fleet fleet{each.m_nodes, account_of(each), seed, each.m_data_centres};
                 fleet.run(6s, 0.4 * each.m_rate);
                 fleet.run(3s, load * each.m_rate);
                 roll(fleet, each, 0.9, 2, 700ms);
@@ -157,7 +159,7 @@
         {
             for (std::uint64_t seed = 1; seed <= seeds_of(each); ++seed)
             {
-                limiting_fleet fleet{each.m_nodes, account_of(each), seed};
+                limiting_fleet fleet{each.m_nodes, account_of(each), seed, each.m_data_centres};
                 fleet.run(6s, 0.4 * each.m_rate);
                 for (int change = 0; change < changes; ++change)
                 {
@@ -175,12 +177,14 @@
 
     static std::vector<churn_case> cases()
     {
-        return {{7, 36.0, 36.0, 20}, {9, 42.0, 42.0, 20}, {9, 120.0, 30.0, 10}, {8, 6.0, 6.0, 10}};
+        return {{7, 36.0, 36.0, 20},     {9, 42.0, 42.0, 20},    {9, 120.0, 30.0, 10},
+                {8, 6.0, 6.0, 10},       {7, 36.0, 36.0, 20, 3}, {9, 42.0, 42.0, 20, 4},
+                {9, 120.0, 30.0, 10, 4}, {8, 6.0, 6.0, 10, 4}};
     }
 
     static std::vector<churn_case> large_cases()
     {
-        return {{70, 36.0, 36.0, 1}, {300, 40.0, 40.0, 1}};
+        return {{70, 36.0, 36.0, 1}, {300, 40.0, 40.0, 1}, {88, 36.0, 36.0, 1, 3}, {300, 40.0, 40.0, 1, 6}};
     }
 
     static forwarding::account account_of(const churn_case& each)
