Ask for tokens again as soon as there may be one

Hypothesis: nodes refuse an account by themselves for as long as they tell its callers to wait, up to 2 s, although tokens come back meanwhile. Change: a node asks again after the time to the next token (20 to 200 ms); callers are told as before.

--- a/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
@@ -197,6 +197,8 @@
     void update_demand(account_state& state, time_point now) const;
     [[nodiscard]] bool take_prefetched(const std::string& name, account_state& state, time_point now);
     [[nodiscard]] bool take_from_bucket(account_state& state, time_point now);
+    static void record_refusal(account_state& state, token_sources::index source, duration retry_after,
+                               time_point now);
     [[nodiscard]] double take_waiting_from_bucket(account_state& state, time_point now);
     [[nodiscard]] std::optional<token_sources::index> next_source(account_state& state, time_point now) const;
     void request_tokens(const std::string& name, account_state& state, time_point now);
--- a/packages/fleet/include/teasellead/fleet/token_sources.hpp
+++ b/packages/fleet/include/teasellead/fleet/token_sources.hpp
@@ -51,8 +51,14 @@
     /// records that a node of another data centre named the holder
     void on_holder_hint(index source, const endpoint& holder, time_point now);
 
-    /// records that a data centre has no tokens before a time
-    void on_refusal(index source, time_point until) noexcept;
+    /*!
+    @brief records that a data centre has no tokens
+
+    @param[in] source       the data centre
+    @param[in] ask_again_at when it may have the next token
+    @param[in] retry_at     when callers may come back: later, if others are expected back before them
+    */
+    void on_refusal(index source, time_point ask_again_at, time_point retry_at) noexcept;
 
     /// records that a data centre didn't reply, and isn't asked again before a time
     void on_silence(index source, time_point until) noexcept;
@@ -60,8 +66,8 @@
     /// whether a data centre hasn't replied lately
     [[nodiscard]] bool has_silent(time_point now) const;
 
-    /// earliest time at which a data centre may have tokens again
-    [[nodiscard]] time_point available_at() const;
+    /// earliest time at which a caller that is refused now may come back
+    [[nodiscard]] time_point retry_at() const;
 
   private:
     struct known_source
@@ -71,6 +77,7 @@
         std::optional<endpoint> m_holder; ///< the holder that one of them has named
         time_point m_holder_until{};
         time_point m_refused_until{};
+        time_point m_retry_at{};
         time_point m_silent_until{};
     };
 
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -29,6 +29,9 @@
 // other nodes may replace a holder that was stalled for longer
 constexpr milliseconds max_stall{600};
 constexpr milliseconds min_retry_after = quota_bucket::min_retry_after;
+// a data centre without tokens is asked again within this time
+constexpr milliseconds max_ask_interval{200};
+constexpr double min_token_rate = 0.1;
 // time after which a refused request may be retried while no data centre replies
 constexpr milliseconds retry_without_bucket{200};
 
@@ -146,10 +149,20 @@
         return true;
     }
     bucket.record_refusal();
-    state.m_sources.on_refusal(token_sources::local, now + bucket.wait(state.m_parameters.m_rate));
+    record_refusal(state, token_sources::local, bucket.wait(state.m_parameters.m_rate), now);
     return false;
 }
 
+void quota_ledger::record_refusal(account_state& state, token_sources::index source, duration retry_after,
+                                  time_point now)
+{
+    // callers are told when their turn comes; this node asks as soon as there may be a token for anyone
+    const std::chrono::duration<double> next_token{1.0 / std::max(state.m_parameters.m_rate, min_token_rate)};
+    const duration wait = std::clamp<duration>(std::chrono::duration_cast<duration>(next_token),
+                                               min_retry_after, max_ask_interval);
+    state.m_sources.on_refusal(source, now + std::min(wait, retry_after), now + retry_after);
+}
+
 bool quota_ledger::take_prefetched(const std::string& name, account_state& state, time_point now)
 {
     if (now >= state.m_prefetched_until)
@@ -307,7 +320,7 @@
     bucket.take(taken);
     if (taken < waiting)
     {
-        state.m_sources.on_refusal(token_sources::local, now + bucket.wait(state.m_parameters.m_rate));
+        record_refusal(state, token_sources::local, bucket.wait(state.m_parameters.m_rate), now);
     }
     return taken;
 }
@@ -384,8 +397,8 @@
     {
         grant_waiting(state, take_fallback(state, static_cast<double>(state.m_waiting.size()), now), now);
     }
-    const time_point available_at = state.m_sources.available_at();
-    refuse_waiting(state, available_at > now ? available_at - now : retry_without_bucket);
+    const time_point retry_at = state.m_sources.retry_at();
+    refuse_waiting(state, retry_at > now ? retry_at - now : retry_without_bucket);
 }
 
 void quota_ledger::on_tick(time_point now)
--- a/packages/fleet/src/quota_ledger_messages.cpp
+++ b/packages/fleet/src/quota_ledger_messages.cpp
@@ -95,7 +95,7 @@
     if (tokens < answered.m_tokens)
     {
         const duration wait = std::max<duration>(content.m_retry_after, quota_bucket::min_retry_after);
-        state.m_sources.on_refusal(answered.m_source, now + wait);
+        record_refusal(state, answered.m_source, wait, now);
     }
     grant_waiting(state, tokens, now);
     if (!state.m_waiting.empty())
@@ -120,7 +120,7 @@
         send_token_request(name, state, answered.m_source, answered.m_redirections + 1, now);
         return;
     }
-    state.m_sources.on_refusal(answered.m_source, now + redirection_retry_after);
+    record_refusal(state, answered.m_source, redirection_retry_after, now);
     request_tokens(name, state, now);
 }
 
--- a/packages/fleet/src/token_sources.cpp
+++ b/packages/fleet/src/token_sources.cpp
@@ -78,11 +78,12 @@
     }
 }
 
-void token_sources::on_refusal(index source, time_point until) noexcept
+void token_sources::on_refusal(index source, time_point ask_again_at, time_point retry_at) noexcept
 {
     if (source < m_sources.size())
     {
-        m_sources[source].m_refused_until = until;
+        m_sources[source].m_refused_until = ask_again_at;
+        m_sources[source].m_retry_at = retry_at;
     }
 }
 
@@ -104,12 +105,9 @@
                        [now](const known_source& each) { return now < each.m_silent_until; });
 }
 
-time_point token_sources::available_at() const
+time_point token_sources::retry_at() const
 {
-    const auto time_of = [](const known_source& each)
-    {
-        return std::max(each.m_refused_until, each.m_silent_until);
-    };
+    const auto time_of = [](const known_source& each) { return std::max(each.m_retry_at, each.m_silent_until); };
     const auto first = std::min_element(m_sources.begin(), m_sources.end(),
                                         [&time_of](const known_source& lhs, const known_source& rhs)
                                         { return time_of(lhs) < time_of(rhs); });
