Don't take a search for the bucket for silence

Hypothesis: after a restart of all nodes each source of tokens counts as silent for a second, since a node that searches for the bucket doesn't reply, and a node's own search counted too. Change: a searching node says so at once where others can be asked; the own search isn't silence; Retry-After comes from the sources that have refused.

--- a/packages/fleet/include/teasellead/fleet/token_sources.hpp
+++ b/packages/fleet/include/teasellead/fleet/token_sources.hpp
@@ -66,8 +66,8 @@
     /// whether a data centre hasn't replied lately
     [[nodiscard]] bool has_silent(time_point now) const;
 
-    /// earliest time at which a caller that is refused now may come back
-    [[nodiscard]] time_point retry_at() const;
+    /// earliest time at which a caller that is refused now may come back; the current time if unknown
+    [[nodiscard]] time_point retry_at(time_point now) const;
 
   private:
     struct known_source
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -338,7 +338,7 @@
     {
         state.m_ownership.discard_holder();
     }
-    if (m_parts.m_data_centres > 1)
+    if (m_parts.m_data_centres > 1 && !is_own_search)
     {
         state.m_sources.on_silence(unanswered.m_source, now + silence_time);
     }
@@ -397,7 +397,7 @@
     {
         grant_waiting(state, take_fallback(state, static_cast<double>(state.m_waiting.size()), now), now);
     }
-    const time_point retry_at = state.m_sources.retry_at();
+    const time_point retry_at = state.m_sources.retry_at(now);
     refuse_waiting(state, retry_at > now ? retry_at - now : retry_without_bucket);
 }
 
--- a/packages/fleet/src/quota_ledger_messages.cpp
+++ b/packages/fleet/src/quota_ledger_messages.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t max_waiting_nodes = 128;
 // time after which a node asks again that was sent to another holder
 constexpr milliseconds redirection_retry_after{200};
+// time after which a search for the bucket has usually ended
+constexpr milliseconds search_retry_after{100};
 
 } // namespace
 
@@ -65,6 +67,12 @@
     {
         send_grant(name, state, requester, now);
     }
+    else if (m_parts.m_data_centres > 1)
+    {
+        // the sender can ask another data centre at once
+        m_messages.push_back(
+            {sender, token_grant{content.m_call, name, 0, search_retry_after, std::nullopt}});
+    }
     else if (state.m_waiting_nodes.size() < max_waiting_nodes)
     {
         state.m_waiting_nodes.push_back(requester);
--- a/packages/fleet/src/token_sources.cpp
+++ b/packages/fleet/src/token_sources.cpp
@@ -105,13 +105,15 @@
                        [now](const known_source& each) { return now < each.m_silent_until; });
 }
 
-time_point token_sources::retry_at() const
+time_point token_sources::retry_at(time_point now) const
 {
-    const auto time_of = [](const known_source& each) { return std::max(each.m_retry_at, each.m_silent_until); };
-    const auto first = std::min_element(m_sources.begin(), m_sources.end(),
-                                        [&time_of](const known_source& lhs, const known_source& rhs)
-                                        { return time_of(lhs) < time_of(rhs); });
-    return time_of(*first);
+    time_point result = time_point::max();
+    for (const known_source& each : m_sources)
+    {
+        const time_point retry_at = std::max(each.m_retry_at, each.m_silent_until);
+        result = retry_at > now ? std::min(result, retry_at) : result;
+    }
+    return result == time_point::max() ? now : result;
 }
 
 } // namespace teasellead
