Grant rate and burst in each window, and drop the fallback

Change: the rate of a bucket covers rate and burst in each window, half of what the bound allows beyond goes to it, the rest to its capacity; no fallback, its 0.035 goes to the buckets.

--- a/packages/fleet/include/teasellead/fleet/quota_bucket.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_bucket.hpp
@@ -34,26 +34,18 @@
 /*!
 @brief parameters of a bucket that grants the whole limit of an account and keeps within its bound
 
-@param[in] bound             bound of the account
-@param[in] rate              declared requests a second
-@param[in] burst             declared requests at once on top of the rate
-@param[in] token_lifetime    how long a granted token stays valid
-@param[in] lookahead         time for which nodes request tokens in advance
+In each window a busy account gets its rate and its burst, which it is owed. What the bound allows beyond that is
+kept for requests that come at once.
+
+@param[in] bound           bound of the account
+@param[in] rate            declared requests a second
+@param[in] burst           declared requests at once on top of the rate
+@param[in] token_lifetime  how long a granted token stays valid
+@param[in] lookahead       time for which nodes request tokens in advance
 */
 [[nodiscard]] bucket_parameters full_bucket_parameters(const account_bound& bound, double rate, double burst,
                                                        duration token_lifetime, duration lookahead);
 
-/*!
-@brief number of requests that all nodes together may admit in a window without reaching a bucket
-
-A fraction of the bound that the parameters returned by @ref full_bucket_parameters leave unused.
-
-@param[in] bound  bound of the account
-@param[in] rate   declared requests a second
-@param[in] burst  declared requests at once on top of the rate
-*/
-[[nodiscard]] double total_fallback(const account_bound& bound, double rate, double burst);
-
 /// token bucket of one account; the node that holds it grants tokens to the others
 class quota_bucket
 {
--- a/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
@@ -16,7 +16,7 @@
 #include "teasellead/fleet/remote_members.hpp"
 #include "teasellead/fleet/token_sources.hpp"
 #include "teasellead/forwarding/route.hpp"
-#include "teasellead/forwarding/sliding_count.hpp"
+
 #include "teasellead/kernel/clock.hpp"
 
 namespace teasellead
@@ -74,8 +74,8 @@
 bucket
 (@ref bucket_ownership) and grants tokens to all nodes that ask. A node asks its own data centre first and the
 others (@ref token_sources) while it gets nothing there, so the loss of a holder, or of all nodes of a data
-centre, costs only that part. A node prefetches the tokens for a short time, so most requests don't wait. A
-node that reaches no holder admits a small fraction of what the account's bound leaves unused. A state machine
+centre, costs only that part. A node prefetches the tokens for a short time, so most requests don't wait. A node that
+reaches no holder refuses. A state machine
 without I/O. Not safe for use by several threads.
 */
 class quota_ledger
@@ -166,12 +166,11 @@
         int m_redirections{0};
     };
 
-    static constexpr std::size_t fallback_slots = 25;
+    
 
     struct account_state
     {
-        account_state(std::uint64_t key, duration window)
-            : m_ownership(key), m_sources(key), m_fallback(window)
+        explicit account_state(std::uint64_t key) : m_ownership(key), m_sources(key)
         {
         }
 
@@ -179,9 +178,7 @@
         bucket_parameters m_parameters; ///< parameters of the bucket of this node's data centre
         bucket_ownership m_ownership;
         token_sources m_sources;
-        double m_total_fallback{0.0}; ///< requests that all nodes may admit in a window without a bucket
-        /// requests that this node admitted without a bucket
-        forwarding::sliding_count<fallback_slots> m_fallback;
+        
         double m_prefetched{0.0}; ///< prefetched tokens
         time_point m_prefetched_until{};
         double m_demand{0.0}; ///< moving average of the requests a second at this node
@@ -215,15 +212,13 @@
     [[nodiscard]] std::optional<quota_answer> take_decision(quota_ticket ticket);
     void grant_waiting(account_state& state, double tokens, time_point now);
     void refuse_waiting(account_state& state, duration retry_after);
-    [[nodiscard]] double take_fallback(account_state& state, double wanted, time_point now) const;
-    void decide_without_source(account_state& state, time_point now);
+    void refuse_without_source(account_state& state, time_point now);
 
     account_bound m_bound;
     limit_parts m_parts;
     quota_members m_members; ///< the nodes that may hold the buckets of this node's data centre
     remote_members m_remote;
-    std::size_t m_nodes{1}; ///< number of nodes of all data centres
-    std::optional<time_point> m_started_at;
+    
     std::optional<time_point> m_last_tick;
     std::uint64_t m_last_call{0};
     std::size_t m_waiting{0};
--- a/packages/fleet/src/quota_bucket.cpp
+++ b/packages/fleet/src/quota_bucket.cpp
@@ -10,14 +10,11 @@
 namespace
 {
 
-// fraction of an account's bound that its bucket grants in a window
-constexpr double usable_fraction = 0.9;
-// fraction of the rest that nodes may admit while they reach no bucket; the remainder covers two buckets at
-// once until both sides of a network partition have detected it
-constexpr double fallback_fraction = 0.35;
-// fraction of the overage by which the bucket's rate exceeds the declared one, to make up for tokens that
-// expire unused
-constexpr double usable_overage = 0.6;
+// fraction of an account's bound that its bucket grants in a window; the rest covers two buckets at once until a
+// network partition is detected
+constexpr double usable_fraction = 0.935;
+// fraction of what the bound allows beyond rate and burst that raises the rate; the rest is kept for bursts
+constexpr double surplus_rate_fraction = 0.5;
 constexpr double max_backlog_s = 2.0;
 constexpr double min_rate = 0.1;
 
@@ -37,16 +34,13 @@
     const double granted_s = seconds_of(bound.m_window) + seconds_of(token_lifetime);
     // a bucket with less capacity than nodes request in advance would refuse requests that arrive unevenly
     const double min_capacity = rate * seconds_of(lookahead);
-    const double sustained = (grantable - min_capacity) / granted_s;
-    const double granted_rate = std::min(rate * (1.0 + usable_overage * bound.m_overage), sustained);
+    const double owed_rate = rate + burst / seconds_of(bound.m_window);
+    const double surplus = std::max(grantable - owed_rate * granted_s - burst, 0.0);
+    const double wanted_rate = owed_rate + surplus_rate_fraction * surplus / granted_s;
+    const double granted_rate = std::min(wanted_rate, (grantable - min_capacity) / granted_s);
     return {granted_rate, std::max(1.0, grantable - granted_rate * granted_s)};
 }
 
-double total_fallback(const account_bound& bound, double rate, double burst)
-{
-    return fallback_fraction * (1.0 - usable_fraction) * max_admitted(bound, rate, burst);
-}
-
 void quota_bucket::refill(const bucket_parameters& parameters, time_point now)
 {
     const double added = parameters.m_rate * seconds_of(now - m_tokens.refilled_at());
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -21,7 +21,7 @@
 constexpr double max_lookahead_tokens = 8.0;
 constexpr milliseconds token_lifetime{400};
 constexpr milliseconds reply_timeout{40};
-// longest wait for a token; then the node decides without a bucket, however often the holder has changed
+// longest wait for a token; then the request is refused, however often the holder has changed
 constexpr milliseconds max_wait{100};
 // time for which a data centre that hasn't replied isn't asked again
 constexpr milliseconds silence_time{1000};
@@ -57,16 +57,12 @@
 
 void quota_ledger::on_declarations(const std::vector<forwarding::account>& accounts, time_point now)
 {
-    if (!m_started_at)
-    {
-        m_started_at = now;
-    }
     std::unordered_map<std::string, account_state> next;
     for (const forwarding::account& each : accounts)
     {
         const auto known = m_accounts.find(each.m_name);
         account_state state = known == m_accounts.end()
-                                  ? account_state{hash64(each.m_name), m_bound.m_window + token_lifetime}
+                                  ? account_state{hash64(each.m_name)}
                                   : std::move(known->second);
         if (known != m_accounts.end())
         {
@@ -78,7 +74,6 @@
         }
         state.m_rate = each.m_rate;
         state.m_parameters = part_parameters(each.m_rate, each.m_burst);
-        state.m_total_fallback = total_fallback(m_bound, each.m_rate, each.m_burst);
         next.emplace(each.m_name, std::move(state));
     }
     // refuse the waiting requests of accounts that are no longer declared
@@ -96,7 +91,6 @@
 
 void quota_ledger::on_members(member_view view, time_point now)
 {
-    m_nodes = std::max(view.m_others.size() + 1, view.m_expected);
     if (m_parts.m_data_centres > 1)
     {
         const auto first_remote = std::stable_partition(
@@ -253,7 +247,7 @@
     }
     else
     {
-        decide_without_source(state, now);
+        refuse_without_source(state, now);
     }
 }
 
@@ -304,7 +298,7 @@
     }
     else if (redirections > max_redirections)
     {
-        decide_without_source(state, now);
+        refuse_without_source(state, now);
     }
     else if (!state.m_waiting.empty())
     {
@@ -344,7 +338,7 @@
     }
     if (is_overdue)
     {
-        decide_without_source(state, now);
+        refuse_without_source(state, now);
     }
     else if (!state.m_waiting.empty())
     {
@@ -378,25 +372,8 @@
     state.m_waiting.clear();
 }
 
-double quota_ledger::take_fallback(account_state& state, double wanted, time_point now) const
-{
-    // the number of requests that an earlier process admitted within the window isn't known
-    const bool has_just_started = !m_started_at || now - *m_started_at < m_bound.m_window + token_lifetime;
-    const double part = state.m_total_fallback / static_cast<double>(m_nodes);
-    const double left =
-        has_just_started ? 0.0 : std::floor(part - static_cast<double>(state.m_fallback.total(now)));
-    const double taken = std::clamp(left, 0.0, wanted);
-    state.m_fallback.add(now, static_cast<std::uint64_t>(taken));
-    return taken;
-}
-
-void quota_ledger::decide_without_source(account_state& state, time_point now)
+void quota_ledger::refuse_without_source(account_state& state, time_point now)
 {
-    const bool has_silent = state.m_sources.has_silent(now) || m_parts.m_data_centres == 1;
-    if (has_silent)
-    {
-        grant_waiting(state, take_fallback(state, static_cast<double>(state.m_waiting.size()), now), now);
-    }
     const time_point retry_at = state.m_sources.retry_at(now);
     refuse_waiting(state, retry_at > now ? retry_at - now : retry_without_bucket);
 }
--- a/packages/fleet/src/token_sources.cpp
+++ b/packages/fleet/src/token_sources.cpp
@@ -99,12 +99,6 @@
     }
 }
 
-bool token_sources::has_silent(time_point now) const
-{
-    return std::any_of(m_sources.begin(), m_sources.end(),
-                       [now](const known_source& each) { return now < each.m_silent_until; });
-}
-
 time_point token_sources::retry_at(time_point now) const
 {
     time_point result = time_point::max();
