Give up connection attempts between nodes after 250 ms, and log who holds a bucket

Cause: a node that starts beside nodes without power connects to them; the attempt hangs for a second and the next comes half a second later. Change: an attempt ends after 250 ms (1 s before), the next follows within 200 ms (500).

--- a/packages/fleet/include/teasellead/fleet/bucket_ownership.hpp
+++ b/packages/fleet/include/teasellead/fleet/bucket_ownership.hpp
@@ -65,6 +65,9 @@
     [[nodiscard]] quota_bucket& refilled(const bucket_parameters& parameters, const quota_members& members,
                                          time_point now);
 
+    /// fraction of the rate that the bucket uses, since there may be another one
+    [[nodiscard]] double usable_fraction(const quota_members& members, time_point now) const;
+
     /// the node to ask for tokens; this one if it holds the bucket or should hold it
     [[nodiscard]] endpoint target(const ownership_context& context);
 
@@ -137,7 +140,6 @@
                    const ownership_context& context);
     void begin_search(const ownership_context& context);
     [[nodiscard]] bool may_have_duplicate(const quota_members& members, time_point now) const;
-    [[nodiscard]] double usable_fraction(const quota_members& members, time_point now) const;
     void ask(const endpoint& node, bool is_last_holder, const ownership_context& context);
     void send_request(const endpoint& node, const ownership_context& context) const;
     void continue_search(const ownership_context& context);
--- a/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
@@ -58,6 +58,16 @@
     friend bool operator==(const quota_decision&, const quota_decision&) = default;
 };
 
+/// this node has become the holder of an account's bucket in its data centre, or isn't any more; for logs
+struct holder_change
+{
+    std::string m_account;
+    bool m_is_holder{false};
+    double m_usable_fraction{0.0}; ///< fraction of the rate that the bucket uses at first
+
+    friend bool operator==(const holder_change&, const holder_change&) = default;
+};
+
 /// division of the limits into equal parts, one for each data centre; must be the same on all nodes
 struct limit_parts
 {
@@ -137,6 +147,9 @@
     /// returns the messages to send, queued since the last call
     [[nodiscard]] std::vector<outgoing_message> take_messages();
 
+    /// returns the changes of holders since the last call
+    [[nodiscard]] std::vector<holder_change> take_holder_changes();
+
     /// returns the decisions on waiting requests since the last call
     [[nodiscard]] std::vector<quota_decision> take_decisions();
 
@@ -177,6 +190,7 @@
         double m_rate{0.0};             ///< declared limit; 0 for no limit
         bucket_parameters m_parameters; ///< parameters of the bucket of this node's data centre
         bucket_ownership m_ownership;
+        bool m_was_holder{false};
         token_sources m_sources;
         
         double m_prefetched{0.0}; ///< prefetched tokens
@@ -225,6 +239,7 @@
     std::unordered_map<std::string, account_state> m_accounts;
     std::vector<outgoing_message> m_messages;
     std::vector<quota_decision> m_decisions;
+    std::vector<holder_change> m_holder_changes;
 };
 
 } // namespace teasellead
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -270,6 +270,12 @@
 
 void quota_ledger::on_ownership_change(const std::string& name, account_state& state, time_point now)
 {
+    if (state.m_ownership.is_held() != state.m_was_holder)
+    {
+        state.m_was_holder = state.m_ownership.is_held();
+        m_holder_changes.push_back(
+            {name, state.m_was_holder, state.m_ownership.usable_fraction(m_members, now)});
+    }
     if (state.m_ownership.is_searching())
     {
         return;
@@ -400,6 +406,11 @@
     return std::exchange(m_messages, {});
 }
 
+std::vector<holder_change> quota_ledger::take_holder_changes()
+{
+    return std::exchange(m_holder_changes, {});
+}
+
 std::vector<quota_decision> quota_ledger::take_decisions()
 {
     return std::exchange(m_decisions, {});
--- a/packages/fleet/src/zmq_peer_link.cpp
+++ b/packages/fleet/src/zmq_peer_link.cpp
@@ -22,11 +22,11 @@
 constexpr int invalid_frames_id = 506;
 constexpr int max_queued_messages = 1000;
 constexpr int reconnect_interval_ms = 50;
-constexpr int max_reconnect_interval_ms = 500;
+constexpr int max_reconnect_interval_ms = 200;
 // a host that failed without closing its connections is detected after the timeout
 constexpr int heartbeat_interval_ms = 1000;
 constexpr int heartbeat_timeout_ms = 3000;
-constexpr int connect_timeout_ms = 1000;
+constexpr int connect_timeout_ms = 250;
 // largest number of messages returned by one call, so that a flood doesn't block the caller's other work
 constexpr std::size_t max_received_messages = 1000;
 // larger messages close the connection; the codec rejects and counts those up to this size
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -94,6 +94,7 @@
     m_crash_exchange.on_tick(m_random, now);
     append(result, take_messages());
     log_crashes();
+    log_holders();
     log_freshness(now);
     return result;
 }
@@ -221,6 +222,17 @@
     }
 }
 
+void node_state::log_holders()
+{
+    for (const holder_change& each : m_quotas.take_holder_changes())
+    {
+        m_log.write(log_level::info, "limit_bucket",
+                    {{"account", each.m_account},
+                     {"state", each.m_is_holder ? "held" : "released"},
+                     {"usable", each.m_usable_fraction}});
+    }
+}
+
 void node_state::log_freshness(time_point now)
 {
     const bool is_fresh = m_configuration_lease.is_valid(now);
--- a/packages/runtime/src/node_state.hpp
+++ b/packages/runtime/src/node_state.hpp
@@ -141,6 +141,7 @@
     void log_freshness(time_point now);
     void process_ended_upstreams();
     void log_crashes();
+    void log_holders();
     [[nodiscard]] std::size_t connection_limit(const forwarding::upstream& target) const;
 
     const monotonic_clock& m_clock;
