--- a/packages/fleet/include/teasellead/fleet/quota_bucket.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_bucket.hpp
@@ -34,8 +34,8 @@
 /*!
 @brief parameters of a bucket that grants the whole limit of an account and keeps within its bound
 
-In each window a busy account gets its rate and its burst, which it is owed. What the bound allows beyond that is
-kept for requests that come at once.
+In each window a busy account gets its rate and its burst, which it is owed. What the bound allows beyond that
+is kept for requests that come at once.
 
 @param[in] bound           bound of the account
 @param[in] rate            declared requests a second
--- a/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
@@ -84,9 +84,8 @@
 bucket
 (@ref bucket_ownership) and grants tokens to all nodes that ask. A node asks its own data centre first and the
 others (@ref token_sources) while it gets nothing there, so the loss of a holder, or of all nodes of a data
-centre, costs only that part. A node prefetches the tokens for a short time, so most requests don't wait. A node that
-reaches no holder refuses. A state machine
-without I/O. Not safe for use by several threads.
+centre, costs only that part. A node prefetches the tokens for a short time, so most requests don't wait. A
+node that reaches no holder refuses. A state machine without I/O. Not safe for use by several threads.
 */
 class quota_ledger
 {
@@ -179,8 +178,6 @@
         int m_redirections{0};
     };
 
-    
-
     struct account_state
     {
         explicit account_state(std::uint64_t key) : m_ownership(key), m_sources(key)
@@ -192,7 +189,7 @@
         bucket_ownership m_ownership;
         bool m_was_holder{false};
         token_sources m_sources;
-        
+
         double m_prefetched{0.0}; ///< prefetched tokens
         time_point m_prefetched_until{};
         double m_demand{0.0}; ///< moving average of the requests a second at this node
@@ -232,7 +229,7 @@
     limit_parts m_parts;
     quota_members m_members; ///< the nodes that may hold the buckets of this node's data centre
     remote_members m_remote;
-    
+
     std::optional<time_point> m_last_tick;
     std::uint64_t m_last_call{0};
     std::size_t m_waiting{0};
--- a/packages/fleet/include/teasellead/fleet/roster.hpp
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -21,7 +21,7 @@
     duration m_gossip_period{std::chrono::milliseconds{500}};
     /// gossip period of a node that has just started
     duration m_joining_period{std::chrono::milliseconds{100}};
-    std::size_t m_fanout{2}; ///< receivers of each notice, alternating between the own and other data centres
+    std::size_t m_fanout{3}; ///< receivers of each notice, alternating between the own and other data centres
     // a notice holds the records of half of the known nodes, within these bounds
     std::size_t m_min_records{24};  ///< min. records of a notice
     std::size_t m_max_records{160}; ///< max. records of a notice
--- a/packages/fleet/include/teasellead/fleet/token_sources.hpp
+++ b/packages/fleet/include/teasellead/fleet/token_sources.hpp
@@ -63,8 +63,6 @@
     /// records that a data centre didn't reply, and isn't asked again before a time
     void on_silence(index source, time_point until) noexcept;
 
-    
-
     /// earliest time at which a caller that is refused now may come back; the current time if unknown
     [[nodiscard]] time_point retry_at(time_point now) const;
 
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -141,8 +141,8 @@
 
 bool publication_follower::is_from_reader(const publication_reply& reply) const
 {
-    // a reader whose source has become silent notices it later than its followers; one without a confirmation has
-    // just started to read
+    // a reader whose source has become silent notices it later than its followers; one without a confirmation
+    // has just started to read
     return reply.m_is_reader &&
            reply.m_confirmation_age.value_or(std::chrono::milliseconds{0}) <= m_settings.m_usable_age;
 }
--- a/packages/fleet/src/quota_bucket.cpp
+++ b/packages/fleet/src/quota_bucket.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-// fraction of an account's bound that its bucket grants in a window; the rest covers two buckets at once until a
-// network partition is detected
+// fraction of an account's bound that its bucket grants in a window; the rest covers two buckets at once
+// until a network partition is detected
 constexpr double usable_fraction = 0.935;
 // fraction of what the bound allows beyond rate and burst that raises the rate; the rest is kept for bursts
 constexpr double surplus_rate_fraction = 0.5;
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -61,9 +61,8 @@
     for (const forwarding::account& each : accounts)
     {
         const auto known = m_accounts.find(each.m_name);
-        account_state state = known == m_accounts.end()
-                                  ? account_state{hash64(each.m_name)}
-                                  : std::move(known->second);
+        account_state state =
+            known == m_accounts.end() ? account_state{hash64(each.m_name)} : std::move(known->second);
         if (known != m_accounts.end())
         {
             if (state.m_ownership.is_held())
--- a/tests/support/limiting_fleet.hpp
+++ b/tests/support/limiting_fleet.hpp
@@ -144,6 +144,11 @@
         return m_asked;
     }
 
+    [[nodiscard]] std::size_t refused() const
+    {
+        return m_refused;
+    }
+
     /// largest number of admissions above the bound in any window; negative if no window reached the bound
     [[nodiscard]] double most_beyond() const
     {
@@ -303,6 +308,7 @@
         {
             admit();
         }
+        m_refused += std::holds_alternative<quota_refused>(answer) ? 1 : 0;
     }
 
     void admit()
@@ -357,6 +363,7 @@
                 {
                     admit();
                 }
+                m_refused += decision.m_is_granted ? 0 : 1;
             }
             post(address, node->m_ledger.take_messages());
         }
@@ -441,6 +448,7 @@
     quota_ticket m_last_ticket{0};
     std::size_t m_admitted_in_all{0};
     std::size_t m_asked{0};
+    std::size_t m_refused{0};
     std::size_t m_steps{0};
 };
 
--- a/tests/unit/fleet/unit-quota-churn.cpp
+++ b/tests/unit/fleet/unit-quota-churn.cpp
@@ -120,8 +120,8 @@
         broken.assert_none();
     }
 
-    /// All nodes but one are killed again and again. The others can't know at once that the survivor still holds
-    /// a bucket.
+    /// All nodes but one are killed again and again. The others can't know at once that the survivor still
+    /// holds a bucket.
     void survivor_of_repeated_kills_keeps_the_bound()
     {
         constexpr int kills = 8;
