Forget failures of readers when the view of the data centre changes

Cause (by reading): while views are incomplete after a start, a node asks a peer that ranks first only in its own view, and walks on to read the source itself. Change: the walk begins anew with each change of the view.

--- a/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
@@ -153,6 +153,10 @@
     [[nodiscard]] std::vector<quota_decision> take_decisions();
 
   private:
+    static constexpr int max_redirections = 3;
+    /// time after which a node asks again if it reached no holder
+    static constexpr std::chrono::milliseconds retry_without_holder{200};
+
     struct waiting_request
     {
         quota_ticket m_ticket{0};
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -47,9 +47,14 @@
 
 void publication_follower::on_members(std::vector<endpoint> local, std::vector<endpoint> others)
 {
-    const bool has_changed = local.size() != m_local.size();
-    m_rank = has_changed ? 0 : m_rank;
-    m_first_usable_rank = has_changed ? 0 : m_first_usable_rank;
+
+    if (local.size() != m_local.size())
+    {
+        // the nodes that were asked may have ranked first only in an incomplete view
+        m_rank = 0;
+        m_first_usable_rank = 0;
+        m_failures = 0;
+    }
     m_local = std::move(local);
     m_others = std::move(others);
     std::sort(m_local.begin(), m_local.end(), comes_before);
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -25,15 +25,12 @@
 constexpr milliseconds max_wait{100};
 // time for which a data centre that hasn't replied isn't asked again
 constexpr milliseconds silence_time{1000};
-constexpr int max_redirections = 3;
 // other nodes may replace a holder that was stalled for longer
 constexpr milliseconds max_stall{600};
 constexpr milliseconds min_retry_after = quota_bucket::min_retry_after;
 // a data centre without tokens is asked again within this time
 constexpr milliseconds max_ask_interval{200};
 constexpr double min_token_rate = 0.1;
-// time after which a refused request may be retried while no data centre replies
-constexpr milliseconds retry_without_bucket{200};
 
 } // namespace
 
@@ -133,19 +130,6 @@
     state.m_last_request = now;
 }
 
-bool quota_ledger::take_from_bucket(account_state& state, time_point now)
-{
-    quota_bucket& bucket = state.m_ownership.refilled(state.m_parameters, m_members, now);
-    if (bucket.available() >= 1.0)
-    {
-        bucket.take(1.0);
-        return true;
-    }
-    bucket.record_refusal();
-    record_refusal(state, token_sources::local, bucket.wait(state.m_parameters.m_rate), now);
-    return false;
-}
-
 void quota_ledger::record_refusal(account_state& state, token_sources::index source, duration retry_after,
                                   time_point now)
 {
@@ -267,61 +251,57 @@
     on_ownership_change(name, state, now);
 }
 
-void quota_ledger::on_ownership_change(const std::string& name, account_state& state, time_point now)
+void quota_ledger::on_message(const endpoint& sender, const token_grant& content, time_point now)
 {
-    if (state.m_ownership.is_held() != state.m_was_holder)
+    const auto found = m_accounts.find(content.m_client_account);
+    if (found == m_accounts.end())
     {
-        state.m_was_holder = state.m_ownership.is_held();
-        m_holder_changes.push_back(
-            {name, state.m_was_holder, state.m_ownership.usable_fraction(m_members, now)});
+        return;
+    }
+    const std::string& name = found->first;
+    account_state& state = found->second;
+    if (!state.m_call || state.m_call->m_number != content.m_call || state.m_call->m_receiver != sender)
+    {
+        return;
     }
-    if (state.m_ownership.is_searching())
+    const token_call answered = *std::exchange(state.m_call, std::nullopt);
+    if (content.m_holder && content.m_tokens == 0)
     {
+        on_redirection(name, state, answered, sender, *content.m_holder, now);
         return;
     }
-    for (const waiting_node& requester : std::exchange(state.m_waiting_nodes, {}))
+    // a sender that grants more than was asked doesn't keep to the protocol
+    const std::uint32_t tokens = std::min(content.m_tokens, answered.m_tokens);
+    if (tokens < answered.m_tokens)
     {
-        send_grant(name, state, requester, now);
+        const duration wait = std::max<duration>(content.m_retry_after, quota_bucket::min_retry_after);
+        record_refusal(state, answered.m_source, wait, now);
     }
-    if (state.m_call && state.m_call->m_receiver == m_members.self())
+    grant_waiting(state, tokens, now);
+    if (!state.m_waiting.empty())
     {
-        on_search_end(name, state, now);
+        request_tokens(name, state, now);
     }
 }
 
-/// decides on this node's own requests, which have waited for the end of the search for the bucket
-void quota_ledger::on_search_end(const std::string& name, account_state& state, time_point now)
+void quota_ledger::on_redirection(const std::string& name, account_state& state, const token_call& answered,
+                                  const endpoint& sender, const endpoint& holder, time_point now)
 {
-    const int redirections = std::exchange(state.m_call, std::nullopt)->m_redirections + 1;
-    if (state.m_ownership.is_held())
+    if (answered.m_source == token_sources::local)
     {
-        grant_waiting(state, take_waiting_from_bucket(state, now), now);
-        if (!state.m_waiting.empty())
-        {
-            request_tokens(name, state, now);
-        }
-    }
-    else if (redirections > max_redirections)
-    {
-        refuse_without_source(state, now);
+        state.m_ownership.on_holder_hint(sender, holder, context_of(name, now));
     }
-    else if (!state.m_waiting.empty())
+    else
     {
-        send_token_request(name, state, token_sources::local, redirections, now);
+        state.m_sources.on_holder_hint(answered.m_source, holder, now);
     }
-}
-
-double quota_ledger::take_waiting_from_bucket(account_state& state, time_point now)
-{
-    quota_bucket& bucket = state.m_ownership.refilled(state.m_parameters, m_members, now);
-    const auto waiting = static_cast<double>(state.m_waiting.size());
-    const double taken = std::min(bucket.available(), waiting);
-    bucket.take(taken);
-    if (taken < waiting)
+    if (answered.m_redirections < max_redirections)
     {
-        record_refusal(state, token_sources::local, bucket.wait(state.m_parameters.m_rate), now);
+        send_token_request(name, state, answered.m_source, answered.m_redirections + 1, now);
+        return;
     }
-    return taken;
+    record_refusal(state, answered.m_source, retry_without_holder, now);
+    request_tokens(name, state, now);
 }
 
 void quota_ledger::on_no_reply(const std::string& name, account_state& state, time_point now)
@@ -380,7 +360,7 @@
 void quota_ledger::refuse_without_source(account_state& state, time_point now)
 {
     const time_point retry_at = state.m_sources.retry_at(now);
-    refuse_waiting(state, retry_at > now ? retry_at - now : retry_without_bucket);
+    refuse_waiting(state, retry_at > now ? retry_at - now : retry_without_holder);
 }
 
 void quota_ledger::on_tick(time_point now)
