--- a/packages/fleet/src/crash_exchange.cpp
+++ b/packages/fleet/src/crash_exchange.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds max_retry_after = std::chrono::minutes{10};
 constexpr duration gossip_period = std::chrono::seconds{1};
 constexpr std::size_t max_records_per_notice = 32;
+// more than there are records at once
+constexpr std::size_t max_known_coordinators = 4096;
 constexpr std::size_t nodes_asked_at_start = 3;
 constexpr std::size_t max_record_requests = 5;
 
@@ -232,6 +234,11 @@
 void crash_exchange::on_tick(random_source& random, time_point now)
 {
     m_guard.on_tick(now);
+    if (m_coordinators.size() > max_known_coordinators)
+    {
+        // drops those of records that have expired
+        update_coordinators({});
+    }
     std::erase_if(m_leases, [now](const auto& each) { return now >= each.second.m_until; });
     on_requests(now);
     notify_coordinators();
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -47,7 +47,6 @@
 
 void publication_follower::on_members(std::vector<endpoint> local, std::vector<endpoint> others)
 {
-
     if (local.size() != m_local.size())
     {
         // the nodes that were asked may have ranked first only in an incomplete view
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -35,7 +35,7 @@
 } // namespace
 
 quota_ledger::quota_ledger(endpoint self, account_bound bound, limit_parts parts)
-    : m_bound(bound), m_parts(std::move(parts)), m_members(self), m_remote(self)
+    : m_bound(bound), m_parts(parts), m_members(self), m_remote(self)
 {
 }
 
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -24,9 +24,8 @@
 {
     std::string m_name;
     std::string m_data_centre;
-    std::size_t m_data_centres{
-        1};                    ///< number of data centres of the deployment, which share the accounts' limits
-    endpoint m_caller_address; ///< listen address for requests of callers
+    std::size_t m_data_centres{1}; ///< number of data centres that share the accounts' limits
+    endpoint m_caller_address;     ///< listen address for requests of callers
     endpoint m_readiness_address;  ///< listen address for the readiness checks of a load balancer
     endpoint m_peer_address;       ///< listen address for messages of other nodes; identifies this node
     endpoint m_metrics_address;    ///< listen address for metrics and operators; port 0 disables it
