Ask for tokens when requests need them, not in advance

Change: no lookahead (its demand estimate and three constants go); the 0.4 s that the bound allows for granted tokens now covers the time until a request is sent, which a busy host can make longer.

quota_restart_test compared admissions with the nominal load, of which the seeds draw more or less: since the gossip draws from the same random source, 2,080 of a nominal 2,160 failed although all that was asked was admitted.

--- a/packages/fleet/include/teasellead/fleet/quota_bucket.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_bucket.hpp
@@ -37,14 +37,13 @@
 In each window a busy account gets its rate and its burst, which it is owed. What the bound allows beyond that
 is kept for requests that come at once.
 
-@param[in] bound           bound of the account
-@param[in] rate            declared requests a second
-@param[in] burst           declared requests at once on top of the rate
-@param[in] token_lifetime  how long a granted token stays valid
-@param[in] lookahead       time for which nodes request tokens in advance
+@param[in] bound               bound of the account
+@param[in] rate                declared requests a second
+@param[in] burst               declared requests at once on top of the rate
+@param[in] grant_to_send_time  time from the grant of a token until its request is sent
 */
 [[nodiscard]] bucket_parameters full_bucket_parameters(const account_bound& bound, double rate, double burst,
-                                                       duration token_lifetime, duration lookahead);
+                                                       duration grant_to_send_time);
 
 /// token bucket of one account; the node that holds it grants tokens to the others
 class quota_bucket
--- a/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
+++ b/packages/fleet/include/teasellead/fleet/quota_ledger.hpp
@@ -84,7 +84,7 @@
 bucket
 (@ref bucket_ownership) and grants tokens to all nodes that ask. A node asks its own data centre first and the
 others (@ref token_sources) while it gets nothing there, so the loss of a holder, or of all nodes of a data
-centre, costs only that part. A node prefetches the tokens for a short time, so most requests don't wait. A
+centre, costs only that part. A
 node that reaches no holder refuses. A state machine without I/O. Not safe for use by several threads.
 */
 class quota_ledger
@@ -194,10 +194,8 @@
         bool m_was_holder{false};
         token_sources m_sources;
 
-        double m_prefetched{0.0}; ///< prefetched tokens
-        time_point m_prefetched_until{};
-        double m_demand{0.0}; ///< moving average of the requests a second at this node
-        time_point m_last_request{};
+        double m_unused_tokens{0.0}; ///< granted for requests that were withdrawn
+        time_point m_unused_until{};
         std::deque<waiting_request> m_waiting;
         std::vector<waiting_node> m_waiting_nodes;
         std::optional<token_call> m_call;
@@ -206,8 +204,7 @@
     [[nodiscard]] ownership_context context_of(const std::string& name, time_point now);
     [[nodiscard]] bucket_parameters part_parameters(double rate, double burst) const;
     void detect_stall(time_point now);
-    void update_demand(account_state& state, time_point now) const;
-    [[nodiscard]] bool take_prefetched(const std::string& name, account_state& state, time_point now);
+    [[nodiscard]] static bool take_unused(account_state& state, time_point now);
     [[nodiscard]] bool take_from_bucket(account_state& state, time_point now);
     static void record_refusal(account_state& state, token_sources::index source, duration retry_after,
                                time_point now);
--- a/packages/fleet/src/quota_bucket.cpp
+++ b/packages/fleet/src/quota_bucket.cpp
@@ -15,6 +15,8 @@
 constexpr double usable_fraction = 0.935;
 // fraction of what the bound allows beyond rate and burst that raises the rate; the rest is kept for bursts
 constexpr double surplus_rate_fraction = 0.5;
+// a bucket that holds the tokens of less time would refuse requests that arrive unevenly
+constexpr double min_capacity_s = 0.3;
 constexpr double max_backlog_s = 2.0;
 constexpr double min_rate = 0.1;
 
@@ -27,13 +29,12 @@
 } // namespace
 
 bucket_parameters full_bucket_parameters(const account_bound& bound, double rate, double burst,
-                                         duration token_lifetime, duration lookahead)
+                                         duration grant_to_send_time)
 {
     const double grantable = usable_fraction * max_admitted(bound, rate, burst);
-    // tokens that are used within a window may have been granted up to their lifetime before it
-    const double granted_s = seconds_of(bound.m_window) + seconds_of(token_lifetime);
-    // a bucket with less capacity than nodes request in advance would refuse requests that arrive unevenly
-    const double min_capacity = rate * seconds_of(lookahead);
+    // requests that are sent within a window may have got their tokens before it
+    const double granted_s = seconds_of(bound.m_window) + seconds_of(grant_to_send_time);
+    const double min_capacity = rate * min_capacity_s;
     const double owed_rate = rate + burst / seconds_of(bound.m_window);
     const double surplus = std::max(grantable - owed_rate * granted_s - burst, 0.0);
     const double wanted_rate = owed_rate + surplus_rate_fraction * surplus / granted_s;
--- a/packages/fleet/src/quota_ledger.cpp
+++ b/packages/fleet/src/quota_ledger.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <utility>
 
 #include "teasellead/kernel/hashing.hpp"
@@ -15,11 +14,10 @@
 
 using std::chrono::milliseconds;
 
-constexpr double demand_window_s = 1.0;
-// tokens for the expected requests of this time are prefetched
-constexpr milliseconds lookahead{300};
-constexpr double max_lookahead_tokens = 8.0;
-constexpr milliseconds token_lifetime{400};
+// time from the grant of a token until its request is sent to an upstream
+constexpr milliseconds grant_to_send_time{400};
+// time for which a token is kept whose request was withdrawn
+constexpr milliseconds unused_token_lifetime{100};
 constexpr milliseconds reply_timeout{40};
 // longest wait for a token; then the request is refused, however often the holder has changed
 constexpr milliseconds max_wait{100};
@@ -49,7 +47,7 @@
     const auto parts = static_cast<double>(m_parts.m_data_centres);
     account_bound bound = m_bound;
     bound.m_slack /= parts;
-    return full_bucket_parameters(bound, rate / parts, burst / parts, token_lifetime, lookahead);
+    return full_bucket_parameters(bound, rate / parts, burst / parts, grant_to_send_time);
 }
 
 void quota_ledger::on_declarations(const std::vector<forwarding::account>& accounts, time_point now)
@@ -123,13 +121,6 @@
     m_last_tick = now;
 }
 
-void quota_ledger::update_demand(account_state& state, time_point now) const
-{
-    const double passed_s = std::max(seconds_of(now - state.m_last_request), 0.0);
-    state.m_demand = state.m_demand * std::exp(-passed_s / demand_window_s) + 1.0 / demand_window_s;
-    state.m_last_request = now;
-}
-
 void quota_ledger::record_refusal(account_state& state, token_sources::index source, duration retry_after,
                                   time_point now)
 {
@@ -140,23 +131,15 @@
     state.m_sources.on_refusal(source, now + std::min(wait, retry_after), now + retry_after);
 }
 
-bool quota_ledger::take_prefetched(const std::string& name, account_state& state, time_point now)
+bool quota_ledger::take_unused(account_state& state, time_point now)
 {
-    if (now >= state.m_prefetched_until)
-    {
-        state.m_prefetched = 0.0;
-    }
-    if (state.m_prefetched < 1.0)
-    {
-        return false;
-    }
-    state.m_prefetched -= 1.0;
-    const bool is_short = state.m_prefetched < 1.0 && state.m_demand * seconds_of(lookahead) >= 1.0;
-    if (is_short && !state.m_call)
+    if (now >= state.m_unused_until)
     {
-        request_tokens(name, state, now);
+        state.m_unused_tokens = 0.0;
     }
-    return true;
+    const bool is_available = state.m_unused_tokens >= 1.0;
+    state.m_unused_tokens -= is_available ? 1.0 : 0.0;
+    return is_available;
 }
 
 quota_answer quota_ledger::request(const std::string& name, quota_ticket ticket, time_point now)
@@ -175,9 +158,8 @@
     {
         detect_stall(now);
     }
-    update_demand(state, now);
     const bool is_granted =
-        (state.m_ownership.is_held() && take_from_bucket(state, now)) || take_prefetched(name, state, now);
+        (state.m_ownership.is_held() && take_from_bucket(state, now)) || take_unused(state, now);
     if (is_granted)
     {
         return quota_granted{};
@@ -239,10 +221,8 @@
 {
     const endpoint receiver = source == token_sources::local ? state.m_ownership.target(context_of(name, now))
                                                              : state.m_sources.target(source, now);
-    const double ahead = std::min(std::floor(state.m_demand * seconds_of(lookahead)), max_lookahead_tokens);
-    const double wanted = std::max(1.0, static_cast<double>(state.m_waiting.size()) + ahead);
-    state.m_call =
-        token_call{++m_last_call, receiver, source, static_cast<std::uint32_t>(wanted), now, redirections};
+    const auto wanted = static_cast<std::uint32_t>(std::max<std::size_t>(state.m_waiting.size(), 1));
+    state.m_call = token_call{++m_last_call, receiver, source, wanted, now, redirections};
     if (receiver != m_members.self())
     {
         m_messages.push_back({receiver, token_request{m_last_call, name, state.m_call->m_tokens}});
@@ -342,8 +322,8 @@
     }
     if (tokens >= 1.0)
     {
-        state.m_prefetched += tokens;
-        state.m_prefetched_until = now + token_lifetime;
+        state.m_unused_tokens += tokens;
+        state.m_unused_until = now + unused_token_lifetime;
     }
 }
 
--- a/tests/unit/fleet/unit-quota-restart.cpp
+++ b/tests/unit/fleet/unit-quota-restart.cpp
@@ -79,6 +79,7 @@
                                          restart_case{69, 60.0, 36.0, 0s}, restart_case{80, 60.0, 36.0, 0s}})
         {
             std::size_t admitted = 0;
+            std::size_t asked = 0;
             for (std::uint64_t seed = 1; seed <= seeds; ++seed)
             {
                 limiting_fleet fleet{
@@ -86,15 +87,16 @@
                 fleet.run(8s, each.m_load);
                 fleet.kill_first(each.m_nodes);
                 fleet.run(500ms, 0.0);
-                const std::size_t before = fleet.admitted();
+                const std::size_t admitted_before = fleet.admitted();
+                const std::size_t asked_before = fleet.asked();
                 fleet.run(recovery, each.m_load);
                 fleet.check_bound();
-                admitted += fleet.admitted() - before;
+                admitted += fleet.admitted() - admitted_before;
+                asked += fleet.asked() - asked_before;
             }
-            const double offered =
-                std::chrono::duration<double>(recovery).count() * each.m_load * static_cast<double>(seeds);
-            CPPUNIT_ASSERT_MESSAGE(std::to_string(admitted) + " of " + std::to_string(offered),
-                                   static_cast<double>(admitted) >= min_admitted_fraction * offered);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(admitted) + " of " + std::to_string(asked),
+                                   static_cast<double>(admitted) >=
+                                       min_admitted_fraction * static_cast<double>(asked));
         }
     }
 
