--- a/tests/unit/fleet/unit-quota-calm.cpp
+++ b/tests/unit/fleet/unit-quota-calm.cpp
@@ -1,10 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <functional>
 #include <string>
 #include <vector>
 
-#include "limiting_fleet.hpp"
+#include "calm_account.hpp"
 
 namespace
 {
@@ -13,27 +12,6 @@
 using namespace teasellead;
 using namespace teasellead::testing;
 
-/// size of a fleet and limit of its account
-struct calm_fleet
-{
-    std::size_t m_nodes;
-    std::size_t m_data_centres;
-    double m_rate; ///< declared requests per second, also used as the burst
-};
-
-/// a fault, and what an account that is far from its limit may feel of it
-struct calm_case
-{
-    std::string m_name;
-    std::function<void(limiting_fleet&, double requests_per_s)> m_fault;
-    duration m_excused;        ///< time after the fault in which requests may be refused
-    double m_refused_fraction; ///< largest fraction of the requests that may be refused after that
-};
-
-// load on the account as a part of its rate
-constexpr double load = 0.625;
-constexpr std::uint64_t seeds = 6;
-
 void kill_data_centre(limiting_fleet& fleet, duration down)
 {
     for (std::size_t node = 0; node < fleet.nodes(); ++node)
@@ -58,7 +36,7 @@
     void calm_account_is_served_through_faults()
     {
         std::string failures;
-        for (const calm_fleet& size : sizes())
+        for (const calm_fleet& size : calm_fleet_sizes())
         {
             for (const calm_case& each : cases())
             {
@@ -81,7 +59,7 @@
                                  {limiting_fleet::account_name, size.m_rate, size.m_rate, {}},
                                  1,
                                  size.m_data_centres};
-            fleet.run(8s, load * size.m_rate);
+            fleet.run(8s, calm_load * size.m_rate);
             for (int window = 0; window < 4; ++window)
             {
                 const std::size_t before = fleet.admitted();
@@ -94,11 +72,6 @@
     }
 
   private:
-    static std::vector<calm_fleet> sizes()
-    {
-        return {{7, 3, 30.0}, {9, 4, 120.0}, {88, 3, 30.0}};
-    }
-
     static std::vector<calm_case> cases()
     {
         return {
@@ -131,41 +104,6 @@
             fleet.run(1s, requests_per_s);
         }
     }
-
-    /// returns a line if more requests were refused than allowed
-    static std::string play(const calm_fleet& size, const calm_case& each)
-    {
-        std::size_t asked = 0;
-        std::size_t refused = 0;
-        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
-        {
-            limiting_fleet fleet{size.m_nodes,
-                                 {limiting_fleet::account_name, size.m_rate, size.m_rate, {}},
-                                 seed,
-                                 size.m_data_centres};
-            fleet.run(8s, load * size.m_rate);
-            std::size_t asked_before = fleet.asked();
-            std::size_t refused_before = fleet.refused();
-            each.m_fault(fleet, load * size.m_rate);
-            if (each.m_excused > duration::zero())
-            {
-                fleet.run(each.m_excused, load * size.m_rate);
-                asked_before = fleet.asked();
-                refused_before = fleet.refused();
-            }
-            fleet.run(6s, load * size.m_rate);
-            fleet.check_bound();
-            asked += fleet.asked() - asked_before;
-            refused += fleet.refused() - refused_before;
-        }
-        const double fraction = static_cast<double>(refused) / static_cast<double>(asked);
-        if (fraction <= each.m_refused_fraction)
-        {
-            return {};
-        }
-        return std::to_string(size.m_nodes) + " nodes in " + std::to_string(size.m_data_centres) +
-               " data centres, " + each.m_name + ": " + std::to_string(fraction) + " refused\n";
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(quota_calm_test);
