--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/bin/teasellead ] && [ -x review/build/partial ] || {
+[ -x target/bin/teasellead ] && [ -x review/build/longstop ] || {
   echo "build first: the deploy file's build, then review/build.sh"
   exit 2
 }
-TROUBLE=${TROUBLE:-1} timeout -k 2 117 review/build/partial review/2/record.txt
+TROUBLE=${TROUBLE:-1} timeout -k 2 117 review/build/longstop review/2/record.txt
 result=$?
 [ $result -le 2 ] || result=2
 exit $result
--- a/review/lab/extra.cpp
+++ b/review/lab/extra.cpp
@@ -1,6 +1,8 @@
 // replicas turn requests away while they are full; some of their answers are followed by a second, late one
 //
 // usage: extra RECORD-FILE (TROUBLE=0: no second answers)
+#include <cmath>
+
 #include "lab.hpp"
 
 using namespace lab;
@@ -9,7 +11,9 @@
 {
 
 constexpr double contact_s = 4.0;
-constexpr double span_s = 40.0;
+constexpr double span_s = 60.0;
+constexpr double trouble_for_s = 5.0;   // `for_s` of the site's garble (extra late)
+constexpr double trouble_pause_s = 3.0; // between two of them
 constexpr double per_s = 260.0;
 constexpr double extra_fraction = 0.03; // `x` of the site's garble (extra late), on a share of 0.6 of the replicas
 constexpr const char* host = "nets.example";
@@ -38,13 +42,14 @@
                          "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[]}");
     const std::vector<std::string> places{"q1", "thu-duc", "binh-thanh", "q7"};
     constexpr std::size_t replicas = 10;
+    std::vector<replica*> all;
     for (std::size_t i = 0; i < replicas; ++i)
     {
         replica& each = fleet.add_replica("my-bookings", places[i % places.size()]);
         each.m_capacity = 2;
         each.m_queue = 8;
         each.m_work_s = 0.08;
-        each.m_extra_fraction = has_trouble() && i < replicas * 6 / 10 ? extra_fraction : 0.0;
+        all.push_back(&each);
         if (!each.start())
         {
             return 2;
@@ -65,6 +70,12 @@
     double next = first;
     for (int number = 0; now() < first + span_s; ++number)
     {
+        const double in_period = std::fmod(now() - first, trouble_for_s + trouble_pause_s);
+        const bool is_garbling = has_trouble() && in_period < trouble_for_s;
+        for (std::size_t i = 0; i < replicas * 6 / 10; ++i)
+        {
+            all[i]->m_extra_fraction = is_garbling ? extra_fraction : 0.0;
+        }
         const auto usable = fleet.in_rotation();
         if (!usable.empty() && running < 400)
         {
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -644,7 +644,7 @@
     std::string m_slow_target;     ///< a target on which it works longer
     double m_slow_work_s{0.0};
     int m_queue{1000};             ///< requests that wait for a slot; more are turned away with Not-Executed
-    double m_extra_fraction{0.0};  ///< part of the answers after which a second answer arrives late
+    std::atomic<double> m_extra_fraction{0.0}; ///< part of the answers after which a second answer arrives late
 
     bool start()
     {
