--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -47,6 +47,7 @@
                 "equal requests lost their upstreams; they are tried one at a time until one is answered"},
     reason_text{"crashes_upstreams", "equal requests ended the upstreams that ran them; see request_refused"},
     reason_text{"timed_out", "its time was over before enough upstreams had answered"},
+    reason_text{"stopping", "the node was stopping and couldn't wait for its end; see the status"},
     reason_text{"upstream_status", "the upstream itself answered with this status"},
     reason_text{"caller_gone", "the caller closed its connection before the answer"},
 };
--- /dev/null
+++ b/packages/runtime/include/teasellead/runtime/stop_schedule.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chrono>
+
+#include "teasellead/kernel/clock.hpp"
+
+namespace teasellead::runtime
+{
+
+/*!
+@brief times of a graceful stop, from the stop signal to the end of the process
+
+New requests may arrive until the load balancer has noticed that the node isn't ready. A request that
+is still running when the process ends gets no response, so the node refuses what may not finish in time, as
+soon as it arrives.
+*/
+class stop_schedule
+{
+  public:
+    /*!
+    @brief creates a schedule
+
+    @param[in] began         when the stop began
+    @param[in] grace_period  time from the stop signal after which the process may be killed
+    */
+    stop_schedule(time_point began, duration grace_period);
+
+    /*!
+    @brief whether a request that has just arrived may be started
+
+    In the first part of the stop all requests are started, since nearly all of them end long before their
+    deadline. Later ones are started only if their deadline lies within the stop.
+
+    @param[in] now                current time
+    @param[in] response_deadline  time by which the response to the request must be sent
+    */
+    [[nodiscard]] bool admits(time_point now, time_point response_deadline) const noexcept
+    {
+        return now < m_admission_narrows || response_deadline <= m_process_end;
+    }
+
+    /// from this time on the node accepts no connections and closes those without a request
+    [[nodiscard]] time_point connections_close() const noexcept
+    {
+        return m_connections_close;
+    }
+
+    /// when the process ends at the latest
+    [[nodiscard]] time_point process_end() const noexcept
+    {
+        return m_process_end;
+    }
+
+    friend bool operator==(const stop_schedule&, const stop_schedule&) = default;
+
+  private:
+    time_point m_admission_narrows;
+    time_point m_connections_close;
+    time_point m_process_end;
+};
+
+} // namespace teasellead::runtime
--- a/packages/runtime/src/caller_request_handler.cpp
+++ b/packages/runtime/src/caller_request_handler.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr std::chrono::milliseconds quota_check_interval{20};
+// other nodes can serve the request at once
+constexpr std::chrono::milliseconds stopping_retry_after{0};
 
 std::shared_ptr<request_driver> start_driver(request_environment& environment, admitted_request request,
                                              respond_function respond)
@@ -33,6 +35,11 @@
         return {};
     }
     auto& admitted = std::get<admitted_request>(decided);
+    if (m_stop && !m_stop->admits(now, admitted.m_dispatch.m_response_deadline))
+    {
+        refuse_stopping(admitted, respond);
+        return {};
+    }
     quota_answer answer = quota_granted{};
     const quota_ticket ticket = ++m_last_ticket;
     if (!admitted.m_account.empty())
@@ -132,6 +139,14 @@
            m_environment.m_clock.now() - request.m_dispatch.m_arrived, respond);
 }
 
+void caller_request_handler::refuse_stopping(const admitted_request& request, const respond_function& respond)
+{
+    reject(request.m_metadata.m_request_id,
+           {refusal(service_unavailable, stopping_retry_after), request.m_route->m_name, request.m_account,
+            "stopping"},
+           m_environment.m_clock.now() - request.m_dispatch.m_arrived, respond);
+}
+
 void caller_request_handler::reject(const std::string& request_id, const rejection& rejected, duration waited,
                                     const respond_function& respond)
 {
--- a/packages/runtime/src/caller_request_handler.hpp
+++ b/packages/runtime/src/caller_request_handler.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <optional>
 #include <unordered_map>
 
 #include "admission.hpp"
 #include "teasellead/fleet/quota_ledger.hpp"
 #include "teasellead/runtime/caller_server.hpp"
+#include "teasellead/runtime/stop_schedule.hpp"
 
 namespace teasellead::runtime
 {
@@ -35,6 +37,12 @@
         m_table = std::move(table);
     }
 
+    /// from now on refuses requests that may not finish before the node stops
+    void begin_stop(const stop_schedule& stop)
+    {
+        m_stop = stop;
+    }
+
     /// handles a request; see @ref http_handler
     [[nodiscard]] disconnect_callback handle(http_request request, respond_function respond);
 
@@ -55,6 +63,7 @@
                 const respond_function& respond);
     void refuse_over_limit(const admitted_request& request, duration retry_after,
                            const respond_function& respond);
+    void refuse_stopping(const admitted_request& request, const respond_function& respond);
     [[nodiscard]] disconnect_callback wait_for_quota(admitted_request request, respond_function respond,
                                                      quota_ticket ticket);
     void schedule_quota_check();
@@ -65,6 +74,7 @@
     asio::steady_timer m_timer;
     bool m_is_check_scheduled{false};
     forwarding::shared_route_table m_table;
+    std::optional<stop_schedule> m_stop; ///< once a stop has begun
     quota_ticket m_last_ticket{0};
     std::unordered_map<quota_ticket, shared_waiting> m_waiting;
 };
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -14,6 +14,7 @@
 #include "teasellead/runtime/peer_messenger.hpp"
 #include "teasellead/runtime/refusals.hpp"
 #include "teasellead/runtime/request_driver.hpp"
+#include "teasellead/runtime/stop_schedule.hpp"
 #include "teasellead/runtime/suspend_aware_clock.hpp"
 #include "teasellead/runtime/upstream_pool.hpp"
 
@@ -28,10 +29,6 @@
 constexpr milliseconds tick_period{100};
 constexpr milliseconds connect_timeout{400};
 constexpr unsigned ok = 200;
-// longest time from the first failed readiness check until a load balancer sends no more requests
-constexpr milliseconds balancer_lag{3500};
-// the node stops this long before the end of the grace period
-constexpr milliseconds stop_margin{700};
 
 node_incarnation new_incarnation()
 {
@@ -132,13 +129,13 @@
 
     [[nodiscard]] bool is_ready() const
     {
-        return !m_is_stopping && m_state.is_ready();
+        return !m_stop && m_state.is_ready();
     }
 
     void tick()
     {
         m_messenger.receive();
-        m_messenger.send(m_state.on_tick(m_is_stopping));
+        m_messenger.send(m_state.on_tick(m_stop.has_value()));
         m_messenger.prepare(m_state.peers());
         m_messenger.retain(m_state.receivers());
         m_pool.close_unused();
@@ -177,28 +174,28 @@
 
     void begin_stop()
     {
-        if (m_is_stopping)
+        if (m_stop)
         {
             return;
         }
-        m_is_stopping = true;
-        m_stop_started_at = m_clock.now();
+        m_stop.emplace(m_clock.now(), m_settings.m_grace_period);
         m_decisions.write(log_level::info, "stopping", {{"in_flight", std::uint64_t{m_callers.in_flight()}}});
         m_callers.announce_close();
+        m_request_handler.begin_stop(*m_stop);
         m_messenger.send(m_state.leave());
         continue_stop();
     }
 
     void continue_stop()
     {
-        const duration passed = m_clock.now() - m_stop_started_at;
-        const bool may_close = passed >= balancer_lag;
+        const time_point now = m_clock.now();
+        const bool may_close = now >= m_stop->connections_close();
         if (may_close)
         {
             m_callers.close_idle();
         }
         const bool is_done = may_close && m_callers.connections() == 0;
-        if (is_done || passed >= m_settings.m_grace_period - stop_margin)
+        if (is_done || now >= m_stop->process_end())
         {
             m_unfinished = m_callers.in_flight();
             m_decisions.write(log_level::info, "stopped", {{"unfinished", std::uint64_t{m_unfinished}}});
@@ -245,8 +242,7 @@
     caller_server m_readiness;
     std::optional<caller_server> m_metrics;
     std::vector<endpoint> m_seeds{m_settings.m_seeds}; ///< current seed addresses, which a reload may change
-    bool m_is_stopping{false};
-    time_point m_stop_started_at{};
+    std::optional<stop_schedule> m_stop;               ///< once a stop has begun
     std::size_t m_unfinished{0};
 };
 
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -50,11 +50,17 @@
     return result;
 }
 
-json route_of(const std::string& name, const std::string& type)
+json route_of(const std::string& name, const std::string& type, milliseconds timeout)
 {
-    return {{"name", name},  {"hostname", "one.example"}, {"prefix", "/" + name + "/"},
-            {"type", type},  {"timeoutMs", 1000},         {"targetLatencyMs", 200},
-            {"priority", 1}, {"maxAttempts", 2},          {"public", false}};
+    return {{"name", name},
+            {"hostname", "one.example"},
+            {"prefix", "/" + name + "/"},
+            {"type", type},
+            {"timeoutMs", timeout.count()},
+            {"targetLatencyMs", 200},
+            {"priority", 1},
+            {"maxAttempts", 2},
+            {"public", false}};
 }
 
 } // namespace
@@ -81,6 +87,29 @@
     m_nodes.clear();
 }
 
+void platform_fleet::set_grace_period(std::chrono::seconds grace_period)
+{
+    m_grace_period = grace_period;
+}
+
+void platform_fleet::set_route_timeout(milliseconds timeout)
+{
+    m_route_timeout = timeout;
+}
+
+std::vector<standin_upstream*> platform_fleet::single_upstreams() const
+{
+    std::vector<standin_upstream*> result;
+    for (const auto& upstream : m_upstreams)
+    {
+        if (upstream->service() == single_service)
+        {
+            result.push_back(upstream.get());
+        }
+    }
+    return result;
+}
+
 void platform_fleet::calm_upstreams()
 {
     for (const auto& upstream : m_upstreams)
@@ -105,13 +134,13 @@
 
 void platform_fleet::publish(std::uint64_t version, const std::vector<std::string>& keys)
 {
-    json scatter = route_of("all", "idempotent");
+    json scatter = route_of("all", "idempotent", m_route_timeout);
     scatter["fanoutServices"] = m_shards;
     scatter["topK"] = 10;
     scatter["minCoverage"] = 0.6;
-    json read = route_of("read", "idempotent");
+    json read = route_of("read", "idempotent", m_route_timeout);
     read["service"] = single_service;
-    json book = route_of("book", "non_idempotent");
+    json book = route_of("book", "non_idempotent", m_route_timeout);
     book["service"] = single_service;
     json services = json::array({{{"name", single_service}}});
     for (const std::string& shard : m_shards)
@@ -144,7 +173,7 @@
         {"bounds",
          {{"strictRevocation", true},
           {"revokeTimeoutMs", revocation_bound.count()},
-          {"gracePeriodS", 6},
+          {"gracePeriodS", m_grace_period.count()},
           {"retryBudgetRatio", 0.2},
           {"retryBudgetSlack", 56},
           {"retryWindowS", 10},
--- a/tests/support/platform_fleet.hpp
+++ b/tests/support/platform_fleet.hpp
@@ -31,6 +31,12 @@
     platform_fleet(const platform_fleet&) = delete;
     platform_fleet& operator=(const platform_fleet&) = delete;
 
+    /// sets the grace period of a stop in the settings of nodes that are started later
+    void set_grace_period(std::chrono::seconds grace_period);
+
+    /// sets the timeout of all routes in configurations that are published later
+    void set_route_timeout(std::chrono::milliseconds timeout);
+
     /// starts node `n` and waits until it is ready
     void start_node(unsigned number);
 
@@ -64,6 +70,9 @@
         return *m_store;
     }
 
+    /// upstreams of the service for single requests
+    [[nodiscard]] std::vector<standin_upstream*> single_upstreams() const;
+
     /// all upstreams; those of the shards first, then those of the service for single requests
     [[nodiscard]] const std::vector<std::unique_ptr<standin_upstream>>& upstreams() const noexcept
     {
@@ -101,6 +110,8 @@
     std::vector<std::string> m_shards;
     std::vector<std::string> m_launcher;
     std::string m_directory;
+    std::chrono::seconds m_grace_period{6};
+    std::chrono::milliseconds m_route_timeout{1000};
     runtime::loop_thread m_thread;
     std::unique_ptr<standin_store> m_store;
     std::vector<std::unique_ptr<standin_upstream>> m_upstreams;
--- a/tests/unit/runtime/unit-caller-session.cpp
+++ b/tests/unit/runtime/unit-caller-session.cpp
@@ -1,11 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <future>
 #include <string>
 #include <vector>
 
+#include "raw_connection.hpp"
 #include "teasellead/runtime/caller_server.hpp"
 #include "teasellead/runtime/loop_thread.hpp"
 
@@ -16,43 +15,10 @@
 using namespace teasellead;
 using namespace teasellead::runtime;
 using teasellead::runtime::loop_thread;
+using test_support::raw_connection;
 
 const endpoint server_address = endpoint::parse("127.95.0.1:8363");
 
-/// a TCP connection that sends bytes without interpreting them
-class raw_connection
-{
-  public:
-    raw_connection() : m_socket(m_loop)
-    {
-        m_socket.connect(to_tcp(server_address));
-    }
-
-    void send(const std::string& bytes)
-    {
-        boost::system::error_code ignored; // the server may have closed already
-        asio::write(m_socket, asio::buffer(bytes), ignored);
-    }
-
-    /// reads all bytes until the server closes the connection
-    std::string read_all()
-    {
-        std::string received;
-        boost::system::error_code end;
-        asio::read(m_socket, asio::dynamic_buffer(received), end);
-        return received;
-    }
-
-    void close()
-    {
-        m_socket.close();
-    }
-
-  private:
-    asio::io_context m_loop;
-    tcp::socket m_socket;
-};
-
 std::size_t count_of(const std::string& text, const std::string& part)
 {
     std::size_t count = 0;
@@ -102,11 +68,11 @@
         for (const std::string& rest : {std::string{"\r\n"}, "\r\n" + std::string(100, 'x'),
                                         std::string{"Expect: 100-continue\r\n\r\n"}})
         {
-            raw_connection connection;
+            raw_connection connection{server_address};
             connection.send(head + rest);
             CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 413"}, connection.read_all().substr(0, 12));
         }
-        raw_connection connection;
+        raw_connection connection{server_address};
         connection.send(head + "\r\n");
         connection.send(std::string(100, 'x'));
         CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 413"}, connection.read_all().substr(0, 12));
@@ -138,7 +104,7 @@
         };
         for (const row& each : rows)
         {
-            raw_connection connection;
+            raw_connection connection{server_address};
             connection.send(each.m_request);
             const std::string response = connection.read_all();
             CPPUNIT_ASSERT_MESSAGE(each.m_request.substr(0, 80) + " -> " + response.substr(0, 40),
@@ -150,14 +116,14 @@
 
     void slow_head_times_out()
     {
-        raw_connection connection;
+        raw_connection connection{server_address};
         connection.send("GET / HTTP/1.1\r\nHost:");
         CPPUNIT_ASSERT(connection.read_all().compare(0, 12, "HTTP/1.1 408") == 0);
     }
 
     void pipelined_requests_are_answered_in_order()
     {
-        raw_connection connection;
+        raw_connection connection{server_address};
         connection.send("GET /first HTTP/1.1\r\n\r\nGET /second HTTP/1.1\r\nConnection: close\r\n\r\n");
         const std::string responses = connection.read_all();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count_of(responses, "HTTP/1.1 200"));
@@ -168,7 +134,7 @@
 
     void chunked_body_is_assembled()
     {
-        raw_connection connection;
+        raw_connection connection{server_address};
         connection.send("POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
                         "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
         CPPUNIT_ASSERT(connection.read_all().find("/c:abcde") != std::string::npos);
@@ -177,7 +143,7 @@
     void caller_disconnect_is_detected()
     {
         m_is_gone = std::promise<void>{};
-        raw_connection connection;
+        raw_connection connection{server_address};
         connection.send("GET /wait HTTP/1.1\r\n\r\n");
         m_is_waiting.get_future().wait();
         connection.close();
