What still runs at the end of a stop gets its answer before the process ends

Callers saw: connections that end without an answer 0.7 s before the end of the grace period, whatever was in flight: bookings, reads, searches with parts already there, bodies read in part. `teaselleadctl explain` knew nothing of them.

Cause: the loop was stopped with the requests in it. Nothing answered them, nothing logged them.

Change: 0.5 s before the end `dispatch::end_early` ends each request with what is known: a search with the parts that it has if they cover enough, an upstream's error reply, otherwise 502, or 503 if nothing was sent. Requests that wait for their account's limit and requests read in part get 503. Then the answers are written for up to 0.25 s. The handler keeps its running requests by ticket, which also replaces the shared waiting entries. `stopped` counts `ended_early`; each request has its line.

--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -100,7 +100,8 @@
     upstreams_paused, ///< the upstreams have requested a pause
     isolated, ///< requests with this fingerprint are suspected of crashing upstreams and run one at a time
     crashes_upstreams, ///< requests with this fingerprint have crashed upstreams and are refused
-    timed_out          ///< the deadline has passed
+    timed_out,         ///< the deadline has passed
+    stopping           ///< the node stops
 };
 
 /// the name of a reason in logs and metrics
@@ -178,6 +179,9 @@
     /// makes the hedges and delayed attempts that are due, and ends the request at its deadline
     [[nodiscard]] std::vector<dispatch_action> on_timer(time_point now);
 
+    /// ends the request before its deadline, with what its upstreams have replied so far
+    [[nodiscard]] std::vector<dispatch_action> end_early(failure_reason reason, time_point now);
+
     /// cancels the request because the caller has disconnected; releases its attempts and sets no result
     [[nodiscard]] std::vector<dispatch_action> cancel();
 
@@ -272,6 +276,7 @@
     void check(std::size_t index, time_point now, actions& result);
     void retry_or_end(std::size_t index, failure_reason reason, time_point now, actions& result);
     void end_sub_request(sub_request& target, sub_request_state state, failure_reason reason);
+    void end_pending(failure_reason reason);
     void release_sub_request(std::size_t index, actions& result);
     void conclude(time_point now, actions& result);
     void conclude_single(time_point now, actions& result);
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -46,6 +46,8 @@
         return "crashes_upstreams";
     case failure_reason::timed_out:
         return "timed_out";
+    case failure_reason::stopping:
+        return "stopping";
     }
     return "unknown";
 }
@@ -342,6 +344,17 @@
     target.m_is_waiting = false;
 }
 
+void dispatch::end_pending(failure_reason reason)
+{
+    for (sub_request& target : m_sub_requests)
+    {
+        if (target.m_state == sub_request_state::pending)
+        {
+            end_sub_request(target, sub_request_state::missing, reason);
+        }
+    }
+}
+
 void dispatch::release_sub_request(std::size_t index, actions& result)
 {
     for (attempt_number i = 0; i < m_attempts.size(); ++i)
@@ -363,13 +376,7 @@
     }
     if (now >= m_request.m_response_deadline)
     {
-        for (sub_request& target : m_sub_requests)
-        {
-            if (target.m_state == sub_request_state::pending)
-            {
-                end_sub_request(target, sub_request_state::missing, failure_reason::timed_out);
-            }
-        }
+        end_pending(failure_reason::timed_out);
     }
     for (std::size_t i = 0; i < m_sub_requests.size(); ++i)
     {
@@ -400,6 +407,17 @@
     }
 }
 
+std::vector<dispatch_action> dispatch::end_early(failure_reason reason, time_point now)
+{
+    actions result;
+    if (!m_result)
+    {
+        end_pending(reason);
+        conclude(now, result);
+    }
+    return result;
+}
+
 std::vector<dispatch_action> dispatch::cancel()
 {
     actions result;
--- a/packages/forwarding/src/dispatch_result.cpp
+++ b/packages/forwarding/src/dispatch_result.cpp
@@ -147,6 +147,11 @@
     {
         return unanswered{reason, current_verdict(), m_denied.m_retry_after};
     }
+    if (reason == failure_reason::stopping)
+    {
+        // another node can serve the request at once
+        return unanswered{reason, current_verdict(), milliseconds::zero()};
+    }
     const milliseconds base =
         reason == failure_reason::overloaded ? busy_retry_after : unreachable_retry_after;
     const auto spread =
--- a/packages/runtime/include/teasellead/runtime/caller_server.hpp
+++ b/packages/runtime/include/teasellead/runtime/caller_server.hpp
@@ -66,6 +66,9 @@
     /// stops accepting connections and closes those on which no request is in progress
     void close_idle();
 
+    /// responds with 503 to requests that were received only in part, and closes their connections
+    void refuse_partial_requests();
+
     /// number of requests that have no response yet
     [[nodiscard]] std::size_t in_flight() const noexcept;
 
--- a/packages/runtime/include/teasellead/runtime/request_driver.hpp
+++ b/packages/runtime/include/teasellead/runtime/request_driver.hpp
@@ -55,6 +55,9 @@
     /// sends the first attempts
     void start();
 
+    /// responds at once with what the upstreams have replied so far, because the node stops
+    void end_early();
+
     /// ends the request without a response because the caller disconnected
     void cancel();
 
--- a/packages/runtime/include/teasellead/runtime/stop_schedule.hpp
+++ b/packages/runtime/include/teasellead/runtime/stop_schedule.hpp
@@ -10,9 +10,9 @@
 /*!
 @brief times of a graceful stop, from the stop signal to the end of the process
 
-New requests may arrive until the load balancer has noticed that the node isn't ready. A request that
-is still running when the process ends gets no response, so the node refuses what may not finish in time, as
-soon as it arrives.
+New requests may arrive until the load balancer has noticed that the node isn't ready. A request that was read
+gets a response before the process ends, so the node refuses what may not finish in time, as soon as it
+arrives.
 */
 class stop_schedule
 {
@@ -36,7 +36,7 @@
     */
     [[nodiscard]] bool admits(time_point now, time_point response_deadline) const noexcept
     {
-        return now < m_admission_narrows || response_deadline <= m_process_end;
+        return now < m_admission_narrows || response_deadline <= m_last_response;
     }
 
     /// from this time on the node accepts no connections and closes those without a request
@@ -45,6 +45,12 @@
         return m_connections_close;
     }
 
+    /// when requests that haven't finished get their final response
+    [[nodiscard]] time_point last_response() const noexcept
+    {
+        return m_last_response;
+    }
+
     /// when the process ends at the latest
     [[nodiscard]] time_point process_end() const noexcept
     {
@@ -56,6 +62,7 @@
   private:
     time_point m_admission_narrows;
     time_point m_connections_close;
+    time_point m_last_response;
     time_point m_process_end;
 };
 
--- a/packages/runtime/src/caller_request_handler.cpp
+++ b/packages/runtime/src/caller_request_handler.cpp
@@ -1,5 +1,7 @@
 #include "caller_request_handler.hpp"
 
+#include <utility>
+
 #include "teasellead/kernel/overloaded.hpp"
 #include "teasellead/runtime/refusals.hpp"
 
@@ -13,14 +15,6 @@
 // other nodes can serve the request at once
 constexpr std::chrono::milliseconds stopping_retry_after{0};
 
-std::shared_ptr<request_driver> start_driver(request_environment& environment, admitted_request request,
-                                             respond_function respond)
-{
-    auto driver = std::make_shared<request_driver>(environment, std::move(request), std::move(respond));
-    driver->start();
-    return driver;
-}
-
 } // namespace
 
 disconnect_callback caller_request_handler::handle(http_request request, respond_function respond)
@@ -47,44 +41,73 @@
         answer = m_quotas.request(admitted.m_account, ticket, now);
         m_environment.m_send();
     }
-    return std::visit(overloaded{[&](const quota_granted&) -> disconnect_callback
-                                 {
-                                     const auto driver =
-                                         start_driver(m_environment, std::move(admitted), std::move(respond));
-                                     return [driver]
-                                     {
-                                         driver->cancel();
-                                     };
-                                 },
-                                 [&](const quota_refused& refused) -> disconnect_callback
-                                 {
-                                     refuse_over_limit(admitted, refused.m_retry_after, respond);
-                                     return {};
-                                 },
-                                 [&](const quota_pending&) -> disconnect_callback
-                                 {
-                                     return wait_for_quota(std::move(admitted), std::move(respond), ticket);
-                                 }},
-                      answer);
+    std::visit(overloaded{[&](const quota_granted&)
+                          { start_driver(ticket, std::move(admitted), std::move(respond)); },
+                          [&](const quota_refused& refused)
+                          { refuse_over_limit(admitted, refused.m_retry_after, respond); },
+                          [&](const quota_pending&)
+                          {
+                              wait_for_quota(ticket, std::move(admitted), std::move(respond));
+                          }},
+               answer);
+    return [this, ticket]
+    {
+        on_disconnect(ticket);
+    };
 }
 
-disconnect_callback caller_request_handler::wait_for_quota(admitted_request request, respond_function respond,
-                                                           quota_ticket ticket)
+void caller_request_handler::start_driver(quota_ticket ticket, admitted_request request,
+                                          respond_function respond)
 {
-    const auto waiting =
-        std::make_shared<waiting_request>(waiting_request{std::move(request), std::move(respond), nullptr});
-    m_waiting.emplace(ticket, waiting);
+    const auto driver =
+        std::make_shared<request_driver>(m_environment, std::move(request),
+                                         [this, ticket, respond = std::move(respond)](http_response response)
+                                         {
+                                             m_running.erase(ticket);
+                                             respond(std::move(response));
+                                         });
+    m_running.emplace(ticket, driver);
+    driver->start();
+}
+
+void caller_request_handler::wait_for_quota(quota_ticket ticket, admitted_request request,
+                                            respond_function respond)
+{
+    m_waiting.emplace(ticket, waiting_request{std::move(request), std::move(respond)});
     schedule_quota_check();
-    return [this, waiting, ticket]
+}
+
+void caller_request_handler::on_disconnect(quota_ticket ticket)
+{
+    if (const auto waiting = m_waiting.find(ticket); waiting != m_waiting.end())
     {
-        if (waiting->m_driver)
-        {
-            waiting->m_driver->cancel();
-            return;
-        }
-        m_quotas.withdraw(waiting->m_request.m_account, ticket);
-        m_waiting.erase(ticket);
-    };
+        m_quotas.withdraw(waiting->second.m_request.m_account, ticket);
+        m_waiting.erase(waiting);
+        return;
+    }
+    if (const auto running = m_running.find(ticket); running != m_running.end())
+    {
+        const std::shared_ptr<request_driver> driver = running->second;
+        m_running.erase(running);
+        driver->cancel();
+    }
+}
+
+std::size_t caller_request_handler::end_requests()
+{
+    // each response removes its request from these maps
+    const auto waiting = std::exchange(m_waiting, {});
+    const auto running = m_running;
+    for (const auto& [ticket, request] : waiting)
+    {
+        m_quotas.withdraw(request.m_request.m_account, ticket);
+        refuse_stopping(request.m_request, request.m_respond);
+    }
+    for (const auto& [ticket, driver] : running)
+    {
+        driver->end_early();
+    }
+    return waiting.size() + running.size();
 }
 
 void caller_request_handler::schedule_quota_check()
@@ -118,15 +141,14 @@
         {
             continue;
         }
-        const shared_waiting waiting = found->second;
+        waiting_request waiting = std::move(found->second);
         m_waiting.erase(found);
         if (!decision.m_is_granted)
         {
-            refuse_over_limit(waiting->m_request, decision.m_retry_after, waiting->m_respond);
+            refuse_over_limit(waiting.m_request, decision.m_retry_after, waiting.m_respond);
             continue;
         }
-        waiting->m_driver =
-            start_driver(m_environment, std::move(waiting->m_request), std::move(waiting->m_respond));
+        start_driver(decision.m_ticket, std::move(waiting.m_request), std::move(waiting.m_respond));
     }
 }
 
--- a/packages/runtime/src/caller_request_handler.hpp
+++ b/packages/runtime/src/caller_request_handler.hpp
@@ -46,6 +46,13 @@
     /// handles a request; see @ref http_handler
     [[nodiscard]] disconnect_callback handle(http_request request, respond_function respond);
 
+    /*!
+    @brief responds at once to all requests that have no response yet, because the node stops
+
+    @return number of these requests
+    */
+    std::size_t end_requests();
+
     /// starts or refuses the waiting requests for which the account limits have decided
     void on_quota_decisions();
 
@@ -54,18 +61,16 @@
     {
         admitted_request m_request;
         respond_function m_respond;
-        std::shared_ptr<request_driver> m_driver; ///< null while the request is waiting
     };
 
-    using shared_waiting = std::shared_ptr<waiting_request>;
-
     void reject(const std::string& request_id, const rejection& rejected, duration waited,
                 const respond_function& respond);
     void refuse_over_limit(const admitted_request& request, duration retry_after,
                            const respond_function& respond);
     void refuse_stopping(const admitted_request& request, const respond_function& respond);
-    [[nodiscard]] disconnect_callback wait_for_quota(admitted_request request, respond_function respond,
-                                                     quota_ticket ticket);
+    void start_driver(quota_ticket ticket, admitted_request request, respond_function respond);
+    void wait_for_quota(quota_ticket ticket, admitted_request request, respond_function respond);
+    void on_disconnect(quota_ticket ticket);
     void schedule_quota_check();
 
     request_environment& m_environment;
@@ -75,8 +80,9 @@
     bool m_is_check_scheduled{false};
     forwarding::shared_route_table m_table;
     std::optional<stop_schedule> m_stop; ///< once a stop has begun
-    quota_ticket m_last_ticket{0};
-    std::unordered_map<quota_ticket, shared_waiting> m_waiting;
+    quota_ticket m_last_ticket{0};       ///< each request has a ticket of its own
+    std::unordered_map<quota_ticket, waiting_request> m_waiting;
+    std::unordered_map<quota_ticket, std::shared_ptr<request_driver>> m_running;
 };
 
 } // namespace teasellead::runtime
--- a/packages/runtime/src/caller_session.cpp
+++ b/packages/runtime/src/caller_session.cpp
@@ -1,9 +1,12 @@
 #include "caller_session.hpp"
 
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <chrono>
+#include <iterator>
 
 #include "feed_parser.hpp"
+#include "teasellead/runtime/refusals.hpp"
 
 namespace teasellead::runtime
 {
@@ -219,12 +222,14 @@
     write(std::move(response), is_final);
 }
 
-void caller_session::reject(unsigned status)
+void caller_session::reject(unsigned status, std::vector<header_field> fields)
 {
     m_keeps_alive = false;
     m_is_head_request = false;
     const auto& make_rejection = m_server->m_make_rejection;
-    write(make_rejection ? make_rejection(status) : http_response{status, {}, {}}, true);
+    http_response response = make_rejection ? make_rejection(status) : http_response{status, {}, {}};
+    std::move(fields.begin(), fields.end(), std::back_inserter(response.m_fields));
+    write(std::move(response), true);
 }
 
 std::string caller_session::head_of(const http_response& response, bool is_final) const
@@ -310,6 +315,14 @@
     }
 }
 
+void caller_session::refuse_partial_request()
+{
+    if (m_phase == phase::reading)
+    {
+        reject(service_unavailable, {{"Retry-After", "0"}});
+    }
+}
+
 void caller_session::close()
 {
     if (m_phase == phase::closed)
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -104,7 +104,7 @@
     bool run()
     {
         m_loop.run();
-        return m_unfinished == 0;
+        return m_ended_early == 0;
     }
 
   private:
@@ -194,11 +194,17 @@
         {
             m_callers.close_idle();
         }
+        if (now >= m_stop->last_response())
+        {
+            m_ended_early += m_request_handler.end_requests();
+            m_callers.refuse_partial_requests();
+        }
         const bool is_done = may_close && m_callers.connections() == 0;
         if (is_done || now >= m_stop->process_end())
         {
-            m_unfinished = m_callers.in_flight();
-            m_decisions.write(log_level::info, "stopped", {{"unfinished", std::uint64_t{m_unfinished}}});
+            m_decisions.write(log_level::info, "stopped",
+                              {{"ended_early", std::uint64_t{m_ended_early}},
+                               {"connections", std::uint64_t{m_callers.connections()}}});
             m_loop.stop();
             return;
         }
@@ -243,7 +249,7 @@
     std::optional<caller_server> m_metrics;
     std::vector<endpoint> m_seeds{m_settings.m_seeds}; ///< current seed addresses, which a reload may change
     std::optional<stop_schedule> m_stop;               ///< once a stop has begun
-    std::size_t m_unfinished{0};
+    std::size_t m_ended_early{0}; ///< requests whose upstreams were still at work at the end
 };
 
 forwarding_node::forwarding_node(const deployment& platform, decision_log& log)
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -54,6 +54,14 @@
     execute(m_dispatch.start(m_environment.m_clock.now()));
 }
 
+void request_driver::end_early()
+{
+    if (!m_is_ended)
+    {
+        execute(m_dispatch.end_early(forwarding::failure_reason::stopping, m_environment.m_clock.now()));
+    }
+}
+
 void request_driver::cancel()
 {
     if (m_is_ended)
--- a/packages/runtime/src/stop_schedule.cpp
+++ b/packages/runtime/src/stop_schedule.cpp
@@ -15,15 +15,17 @@
 // a stop that is noticed late, and requests that are read late, must not use up the time of a long request
 constexpr milliseconds longest_open_admission{2900};
 constexpr int open_admission_divisor = 2;
-// the process ends this long before the end of the grace period
-constexpr milliseconds stop_margin{700};
+// time before the end of the grace period in which the last responses are written
+constexpr milliseconds closing_time{500};
+constexpr milliseconds process_end_margin{250};
 
 } // namespace
 
 stop_schedule::stop_schedule(time_point began, duration grace_period)
     : m_admission_narrows(began +
                           std::min<duration>(longest_open_admission, grace_period / open_admission_divisor)),
-      m_connections_close(began + balancer_lag), m_process_end(began + grace_period - stop_margin)
+      m_connections_close(began + balancer_lag), m_last_response(began + grace_period - closing_time),
+      m_process_end(began + grace_period - process_end_margin)
 {
 }
 
--- a/tests/process/process-stop.cpp
+++ b/tests/process/process-stop.cpp
@@ -155,6 +155,7 @@
 {
     CPPUNIT_TEST_SUITE(planned_stop_test);
     CPPUNIT_TEST(late_request_that_may_not_finish_is_refused_at_once);
+    CPPUNIT_TEST(unfinished_request_is_answered_before_the_process_ends);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -191,6 +192,44 @@
         CPPUNIT_ASSERT(fleet.output_of(first_node).find(R"("reason":"stopping")") != std::string::npos);
     }
 
+    // guards against connections that end without an answer, and without a log line, at the end of a stop
+    void unfinished_request_is_answered_before_the_process_ends()
+    {
+        constexpr std::chrono::seconds grace{5};
+        platform_fleet fleet{net};
+        start(fleet, grace, 1ms);
+        upstream_behaviour hanging;
+        hanging.m_loses_answers = true;
+        // the replicas of one shard still answer, too few for a search
+        for (std::size_t number = 2; number < fleet.upstreams().size(); ++number)
+        {
+            fleet.upstreams()[number]->set_behaviour(hanging);
+        }
+        stop_run run{fleet,
+                     {{"/book/x", 100ms, long_limit, 502},
+                      {"/read/x", 200ms, long_limit, 502},
+                      {"/all/x", 300ms, long_limit, 502}}};
+        raw_connection partial{fleet.callers_of(first_node)};
+        run.stop();
+        std::this_thread::sleep_until(run.stop_at() + 2500ms);
+        partial.send(head_with_body("half-a-body") + "sl");
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 503"}, partial.read_all().substr(0, 12));
+        const int exit_code = fleet.node(first_node).wait();
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() < run.stop_at() + grace);
+        run.join();
+        run.check();
+        // upstreams were still at work
+        CPPUNIT_ASSERT_EQUAL(1, exit_code);
+        const std::string log = fleet.output_of(first_node);
+        for (std::size_t number = 0; number < run.answers().size(); ++number)
+        {
+            const auto line = log.find("\"event\":\"request\",\"request_id\":\"" + id_of(number) + '"');
+            CPPUNIT_ASSERT(line != std::string::npos);
+            CPPUNIT_ASSERT(log.substr(line, log.find('\n', line) - line).find("\"reason\":\"stopping\"") !=
+                           std::string::npos);
+        }
+    }
+
   private:
     /// starts a node with a grace period, and upstreams that need some time for single requests
     static void start(platform_fleet& fleet, std::chrono::seconds grace_period, milliseconds work)
--- a/tests/unit/forwarding/unit-dispatch.cpp
+++ b/tests/unit/forwarding/unit-dispatch.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(scatter_completes_without_an_unavailable_shard);
     CPPUNIT_TEST(scatter_that_cannot_reach_its_coverage_is_not_started);
     CPPUNIT_TEST(ends_at_its_deadline);
+    CPPUNIT_TEST(single_request_ends_early_with_what_is_known);
+    CPPUNIT_TEST(search_ends_early_with_the_replies_so_far);
     CPPUNIT_TEST(wakeups_increase);
     CPPUNIT_TEST(request_is_refused_at_once_if_all_upstreams_are_paused);
     CPPUNIT_TEST(search_continues_without_a_paused_shard);
@@ -156,6 +158,55 @@
         CPPUNIT_ASSERT(unanswered_of(request).m_verdict == verdict::not_run);
     }
 
+    // guards against requests that get no answer, or an untrue one, when their node stops
+    void single_request_ends_early_with_what_is_known()
+    {
+        dispatch_fixture fixture{{"a"}};
+        dispatch running = fixture.single(repeatability::non_idempotent);
+        (void)running.start(dispatch_start);
+        const auto actions = running.end_early(failure_reason::stopping, dispatch_start + 5ms);
+        CPPUNIT_ASSERT(actions == std::vector<dispatch_action>{release_attempt{0}});
+        CPPUNIT_ASSERT(unanswered_of(running).m_reason == failure_reason::stopping);
+        CPPUNIT_ASSERT(unanswered_of(running).m_verdict == verdict::may_have_run);
+
+        dispatch failed = fixture.single(repeatability::idempotent);
+        (void)failed.start(dispatch_start);
+        (void)failed.on_reply(0, reply_of(500), dispatch_start + 1ms);
+        (void)failed.end_early(failure_reason::stopping, dispatch_start + 5ms);
+        CPPUNIT_ASSERT_EQUAL(500U, std::get<forwarded>(failed.result()).m_reply.m_status);
+
+        fixture.m_has_room = false;
+        dispatch waiting = fixture.single(repeatability::non_idempotent);
+        CPPUNIT_ASSERT(waiting.start(dispatch_start).empty());
+        (void)waiting.end_early(failure_reason::stopping, dispatch_start + 5ms);
+        CPPUNIT_ASSERT(unanswered_of(waiting).m_verdict == verdict::not_run);
+        // nothing changes afterwards
+        CPPUNIT_ASSERT(waiting.end_early(failure_reason::timed_out, dispatch_start + 9ms).empty());
+        CPPUNIT_ASSERT(unanswered_of(waiting).m_reason == failure_reason::stopping);
+    }
+
+    void search_ends_early_with_the_replies_so_far()
+    {
+        struct row
+        {
+            double m_min_coverage;
+            bool m_is_gathered;
+        };
+        for (const row& each : {row{0.5, true}, row{0.9, false}})
+        {
+            dispatch_fixture fixture{{"a", "b"}};
+            dispatch request = fixture.over_shards({"a", "b"}, each.m_min_coverage);
+            (void)request.start(dispatch_start);
+            (void)request.on_reply(0, reply_of(200, "of a"), dispatch_start + 1ms);
+            (void)request.end_early(failure_reason::stopping, dispatch_start + 5ms);
+            CPPUNIT_ASSERT(request.is_finished());
+            const auto* const result = std::get_if<gathered>(&request.result());
+            CPPUNIT_ASSERT_EQUAL(each.m_is_gathered, result != nullptr);
+            CPPUNIT_ASSERT(result == nullptr || result->m_missing_shards == "b:stopping");
+            CPPUNIT_ASSERT(result != nullptr || unanswered_of(request).m_verdict != verdict::not_run);
+        }
+    }
+
     void hedges_an_overdue_attempt_and_uses_the_first_reply()
     {
         dispatch_fixture fixture{{"a"}};
--- a/tests/unit/runtime/unit-caller-session.cpp
+++ b/tests/unit/runtime/unit-caller-session.cpp
@@ -2,6 +2,7 @@
 
 #include <future>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "raw_connection.hpp"
@@ -38,6 +39,7 @@
     CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
     CPPUNIT_TEST(chunked_body_is_assembled);
     CPPUNIT_TEST(caller_disconnect_is_detected);
+    CPPUNIT_TEST(partial_request_is_refused_on_demand);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -121,6 +123,25 @@
         CPPUNIT_ASSERT(connection.read_all().compare(0, 12, "HTTP/1.1 408") == 0);
     }
 
+    void partial_request_is_refused_on_demand()
+    {
+        raw_connection partial{server_address};
+        raw_connection idle{server_address};
+        partial.send("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+        std::this_thread::sleep_for(50ms);
+        m_thread->run(
+            [this]
+            {
+                m_server->refuse_partial_requests();
+                m_server->close_idle();
+            });
+        const std::string refused = partial.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 503"}, refused.substr(0, 12));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_of(refused, "Retry-After: "));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_of(refused, "Connection: close"));
+        CPPUNIT_ASSERT(idle.read_all().empty());
+    }
+
     void pipelined_requests_are_answered_in_order()
     {
         raw_connection connection{server_address};
--- a/tests/unit/runtime/unit-stop-schedule.cpp
+++ b/tests/unit/runtime/unit-stop-schedule.cpp
@@ -27,10 +27,11 @@
         {
             const stop_schedule stop{began, grace};
             CPPUNIT_ASSERT(stop.connections_close() > began);
-            CPPUNIT_ASSERT(stop.connections_close() <= stop.process_end());
+            CPPUNIT_ASSERT(stop.connections_close() <= stop.last_response());
+            CPPUNIT_ASSERT(stop.last_response() < stop.process_end());
             CPPUNIT_ASSERT(stop.process_end() < began + grace);
             // upstreams that are still at work by then were given five sixths of the grace period
-            CPPUNIT_ASSERT(stop.process_end() >= began + grace * 5 / 6);
+            CPPUNIT_ASSERT(stop.last_response() >= began + grace * 5 / 6);
         }
     }
 
@@ -48,6 +49,7 @@
                                                 {6s, 3s, 5s, false},
                                                 {6s, 3s, 2s, true},
                                                 {6s, 3400ms, 2200ms, false},
+                                                {6s, 5600ms, 1ms, false},
                                                 {10s, 3s, 5s, true},
                                                 {10s, 3s, 7s, false},
                                                 {5s, 2400ms, 5s, true},
