A stop's steps are in proportion to its grace period

Callers saw (other grace periods than 6 s): with 3 s, idle connections were never closed by the node, since 3.5 s lies behind the end; they ended with the process, so that a request on its way met a reset.

Cause: constants that were chosen for one grace period.

Change: the last answers go out an eighth of the grace period before its end (0.5 s at most), connections close before that, the process ends halfway between. The balancer's lag is passed in.

Test: short_grace_period_leaves_time_for_every_answer fails on the node of the commit before; stop_schedule_test with 1 to 60 s.

--- a/packages/runtime/include/teasellead/runtime/stop_schedule.hpp
+++ b/packages/runtime/include/teasellead/runtime/stop_schedule.hpp
@@ -22,8 +22,9 @@
 
     @param[in] began         when the stop began
     @param[in] grace_period  time from the stop signal after which the process may be killed
+    @param[in] balancer_lag  longest time until the load balancer sends no more requests
     */
-    stop_schedule(time_point began, duration grace_period);
+    stop_schedule(time_point began, duration grace_period, duration balancer_lag);
 
     /*!
     @brief whether a request that has just arrived may be started
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds tick_period{100};
 constexpr milliseconds connect_timeout{400};
 constexpr unsigned ok = 200;
+// longest time from the first failed readiness check until a load balancer sends no more requests
+constexpr milliseconds balancer_lag{3500};
 
 node_incarnation new_incarnation()
 {
@@ -178,7 +180,7 @@
         {
             return;
         }
-        m_stop.emplace(m_clock.now(), m_settings.m_grace_period);
+        m_stop.emplace(m_clock.now(), m_settings.m_grace_period, balancer_lag);
         m_decisions.write(log_level::info, "stopping", {{"in_flight", std::uint64_t{m_callers.in_flight()}}});
         m_callers.announce_close();
         m_request_handler.begin_stop(*m_stop);
--- a/packages/runtime/src/stop_schedule.cpp
+++ b/packages/runtime/src/stop_schedule.cpp
@@ -10,23 +10,24 @@
 
 using std::chrono::milliseconds;
 
-// longest time from the first failed readiness check until a load balancer sends no more requests
-constexpr milliseconds balancer_lag{3500};
 // a stop that is noticed late, and requests that are read late, must not use up the time of a long request
 constexpr milliseconds longest_open_admission{2900};
 constexpr int open_admission_divisor = 2;
-// time before the end of the grace period in which the last responses are written
-constexpr milliseconds closing_time{500};
-constexpr milliseconds process_end_margin{250};
+// time before the end of the grace period in which the last responses are written and the process ends
+constexpr milliseconds longest_closing_time{500};
+constexpr int closing_time_divisor = 8;
 
 } // namespace
 
-stop_schedule::stop_schedule(time_point began, duration grace_period)
-    : m_admission_narrows(began +
-                          std::min<duration>(longest_open_admission, grace_period / open_admission_divisor)),
-      m_connections_close(began + balancer_lag), m_last_response(began + grace_period - closing_time),
-      m_process_end(began + grace_period - process_end_margin)
+stop_schedule::stop_schedule(time_point began, duration grace_period, duration balancer_lag)
 {
+    const duration closing_time =
+        std::min<duration>(longest_closing_time, grace_period / closing_time_divisor);
+    m_admission_narrows =
+        began + std::min<duration>(longest_open_admission, grace_period / open_admission_divisor);
+    m_last_response = began + grace_period - closing_time;
+    m_connections_close = std::min(began + balancer_lag, m_last_response);
+    m_process_end = m_last_response + closing_time / 2;
 }
 
 } // namespace teasellead::runtime
