--- a/packages/entry/include/teasellead/entry/http_server.hpp
+++ b/packages/entry/include/teasellead/entry/http_server.hpp
@@ -49,6 +49,13 @@
     /// refuses new connections and closes idle ones; requests in flight are finished
     void stop_listening();
 
+    /// responds to all requests that have no response yet that they may have run, and to those that were
+    /// received only in part that they haven't run
+    void end_requests();
+
+    /// number of open connections, including those on which a response is being sent
+    [[nodiscard]] std::size_t connections() const;
+
     /// number of requests whose response hasn't been sent
     [[nodiscard]] std::size_t in_flight() const;
 
--- a/packages/entry/include/teasellead/entry/request_handler.hpp
+++ b/packages/entry/include/teasellead/entry/request_handler.hpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <variant>
@@ -16,6 +17,7 @@
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/current_revision.hpp"
 #include "teasellead/runtime/decision_log.hpp"
+#include "teasellead/runtime/stop_schedule.hpp"
 
 namespace teasellead
 {
@@ -44,6 +46,13 @@
 
     explicit request_handler(dependencies injected);
 
+    /*!
+    @brief from now on refuses requests that may not finish before the node stops
+
+    @param[in] stop  times of the stop
+    */
+    void begin_stop(const runtime::stop_schedule& stop);
+
     /*!
     @brief handles one request and responds at once or later; doesn't block
 
@@ -57,6 +66,7 @@
     struct pending_request;
     using shared_pending_request = std::shared_ptr<pending_request>;
 
+    [[nodiscard]] bool admits(const accepted_request& accepted, time_point arrival) const;
     void start(const runtime::http_request& request, const shared_pending_request& pending);
     [[nodiscard]] std::variant<accepted_request, runtime::http_response>
     check(const runtime::http_request& request, pending_request& pending);
@@ -71,6 +81,8 @@
 
     dependencies m_dependencies;
     std::atomic<std::uint64_t> m_last_seed{0};
+    mutable std::mutex m_stop_mutex;
+    std::optional<runtime::stop_schedule> m_stop; ///< once a stop has begun; guarded by m_stop_mutex
 };
 
 } // namespace teasellead
--- a/packages/entry/src/http_server.cpp
+++ b/packages/entry/src/http_server.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr unsigned status_internal_error = 500;
+constexpr unsigned status_unknown_outcome = 502;
 
 /// the response to a request that can't be parsed
 runtime::http_response rejection(unsigned status)
@@ -30,6 +31,14 @@
                                  detail::error_response_body({}, "internal error", verdict::may_have_run));
 }
 
+/// the response to a request that still runs when the server stops
+runtime::http_response unfinished()
+{
+    return detail::json_response(
+        status_unknown_outcome,
+        detail::error_response_body({}, "the node stops and the request still runs", verdict::may_have_run));
+}
+
 } // namespace
 
 class http_server::implementation
@@ -70,6 +79,23 @@
         m_loop.run([this] { m_server->close_idle(); });
     }
 
+    void end_requests()
+    {
+        m_loop.run(
+            [this]
+            {
+                m_server->end_requests(unfinished());
+                m_server->refuse_partial_requests();
+            });
+    }
+
+    [[nodiscard]] std::size_t connections() const
+    {
+        std::size_t result = 0;
+        m_loop.run([this, &result] { result = m_server->connections(); });
+        return result;
+    }
+
     [[nodiscard]] std::size_t in_flight() const
     {
         std::size_t result = 0;
@@ -120,6 +146,16 @@
     m_implementation->stop_listening();
 }
 
+void http_server::end_requests()
+{
+    m_implementation->end_requests();
+}
+
+std::size_t http_server::connections() const
+{
+    return m_implementation->connections();
+}
+
 std::size_t http_server::in_flight() const
 {
     return m_implementation->in_flight();
--- a/packages/entry/src/node.cpp
+++ b/packages/entry/src/node.cpp
@@ -18,6 +18,7 @@
 #include "teasellead/kernel/current_revision.hpp"
 #include "teasellead/kernel/hashing.hpp"
 #include "teasellead/runtime/decision_log.hpp"
+#include "teasellead/runtime/stop_schedule.hpp"
 
 namespace teasellead
 {
@@ -102,21 +103,31 @@
     bool stop()
     {
         m_log.write(log_level::info, "stopping", {});
-        const time_point begin = m_clock.now();
+        const runtime::stop_schedule schedule{m_clock.now(), m_settings.m_stop_timeout,
+                                              m_settings.m_balancer_lag};
         m_fleet.leave();
+        m_request_handler.begin_stop(schedule);
         m_caller_server.announce_close();
-        std::this_thread::sleep_for(m_settings.m_balancer_lag);
+        std::this_thread::sleep_for(schedule.connections_close() - m_clock.now());
         m_caller_server.stop_listening();
-        while (m_caller_server.in_flight() > 0 && m_clock.now() - begin < m_settings.m_stop_timeout)
-        {
-            std::this_thread::sleep_for(stop_check_interval);
-        }
+        wait_for_callers(schedule.last_response());
         const std::uint64_t unfinished = m_caller_server.in_flight();
+        m_caller_server.end_requests();
+        wait_for_callers(schedule.process_end());
         m_log.write(log_level::info, "stopped", {{"unfinished", unfinished}});
         return unfinished == 0;
     }
 
   private:
+    /// waits until all callers have their responses and no connection is left, or until a time
+    void wait_for_callers(time_point end) const
+    {
+        while (m_caller_server.connections() > 0 && m_clock.now() < end)
+        {
+            std::this_thread::sleep_for(stop_check_interval);
+        }
+    }
+
     node_settings m_settings;
     system_monotonic_clock m_clock;
     runtime::loop_thread m_loop; ///< serves the connections of callers, operators and upstreams
--- a/packages/entry/src/request_handler.cpp
+++ b/packages/entry/src/request_handler.cpp
@@ -132,6 +132,18 @@
 {
 }
 
+void request_handler::begin_stop(const runtime::stop_schedule& stop)
+{
+    const std::scoped_lock lock{m_stop_mutex};
+    m_stop = stop;
+}
+
+bool request_handler::admits(const accepted_request& accepted, time_point arrival) const
+{
+    const std::scoped_lock lock{m_stop_mutex};
+    return !m_stop || m_stop->admits(arrival, accepted.m_response_deadline);
+}
+
 void request_handler::handle(const http_request& request, http_responder respond)
 {
     const auto pending = std::make_shared<pending_request>(
@@ -164,6 +176,12 @@
         return;
     }
     auto& accepted = std::get<accepted_request>(checked);
+    if (!admits(accepted, pending->m_arrival))
+    {
+        finish(*pending, refuse(status_unavailable, accepted.m_request_id, "stopping",
+                                effect_of_refusal(request), retry_when_ready));
+        return;
+    }
     if (accepted.m_route == nullptr)
     {
         finish(*pending, issue_id(accepted, pending->m_record));
--- a/packages/runtime/include/teasellead/runtime/caller_server.hpp
+++ b/packages/runtime/include/teasellead/runtime/caller_server.hpp
@@ -66,6 +66,9 @@
     /// stops accepting connections and closes those on which no request is in progress
     void close_idle();
 
+    /// sends a response to all requests that have none yet; later responses to them are ignored
+    void end_requests(const http_response& response);
+
     /// responds with 503 to requests that were received only in part, and closes their connections
     void refuse_partial_requests();
 
--- a/packages/runtime/src/caller_server.cpp
+++ b/packages/runtime/src/caller_server.cpp
@@ -98,6 +98,15 @@
     }
 }
 
+void caller_server::end_requests(const http_response& response)
+{
+    const std::vector<std::shared_ptr<caller_session>> sessions{m_sessions.begin(), m_sessions.end()};
+    for (const auto& session : sessions)
+    {
+        session->respond(response);
+    }
+}
+
 void caller_server::refuse_partial_requests()
 {
     const std::vector<std::shared_ptr<caller_session>> sessions{m_sessions.begin(), m_sessions.end()};
--- a/packages/runtime/src/caller_session.hpp
+++ b/packages/runtime/src/caller_session.hpp
@@ -25,6 +25,9 @@
     /// closes the connection if no request is in progress
     void close_if_idle();
 
+    /// sends the response if a request has none yet
+    void respond(http_response response);
+
     /// responds with 503 if a request was received only in part
     void refuse_partial_request();
 
@@ -52,7 +55,6 @@
     void on_request();
     void send_continue_if_expected();
     void reject(unsigned status, std::vector<header_field> fields = {});
-    void respond(http_response response);
     void write(http_response response, bool is_final);
     void on_written(const boost::system::error_code& error);
     void linger();
--- a/tests/process/process-fleet.cpp
+++ b/tests/process/process-fleet.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(older_revision_is_ignored);
     CPPUNIT_TEST(serves_through_an_outage_of_the_platform);
     CPPUNIT_TEST(rolling_restart_interrupts_no_request);
+    CPPUNIT_TEST(stopping_node_answers_every_request);
     CPPUNIT_TEST(limit_holds_over_both_nodes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -245,6 +246,39 @@
         CPPUNIT_ASSERT(answered.load() > 20);
     }
 
+    // guards against requests that a stopping node starts although it stops before their deadline
+    void stopping_node_answers_every_request()
+    {
+        m_fleet->process("node-2").signal(SIGTERM);
+        (void)m_fleet->process("node-2").wait();
+        m_fleet->forget("node-2");
+        m_fleet->start_node(2, "south", {"--balancer-lag-ms", "1600", "--stop-timeout-ms", "2000"});
+        m_fleet->wait_until_ready(2);
+        m_fleet->call_until(2, "/search", coach_key, is_complete);
+        for (const unsigned data_centre : {1U, 2U})
+        {
+            for (const std::string& address : upstreams_of(data_centre))
+            {
+                m_fleet->control_upstream(address, {{"delay_ms", 3000}});
+            }
+        }
+        m_fleet->process("node-2").signal(SIGTERM);
+        caller_answer slow;
+        std::thread caller{[&]
+                           {
+                               std::this_thread::sleep_for(1000ms);
+                               slow = m_fleet->call(2, "/open", "");
+                           }};
+        std::this_thread::sleep_for(1250ms);
+        // an id would be of no use: only this node could run the request with it
+        const caller_answer late = m_fleet->call(2, "/-/request-ids", coach_key);
+        caller.join();
+        (void)m_fleet->process("node-2").wait();
+        CPPUNIT_ASSERT_EQUAL(503U, late.m_status);
+        CPPUNIT_ASSERT_EQUAL(std::string{"not_run"}, late.m_body.at("verdict").get<std::string>());
+        CPPUNIT_ASSERT(slow.m_status != 0);
+    }
+
     void limit_holds_over_both_nodes()
     {
         // clubs: 10 requests a second, at most 20 at once
--- a/tests/unit/entry/unit-http-server.cpp
+++ b/tests/unit/entry/unit-http-server.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "raw_connection.hpp"
 #include "teasellead/entry/http_client.hpp"
 #include "teasellead/entry/http_server.hpp"
 
@@ -19,6 +20,8 @@
 
 constexpr std::size_t max_body = 100;
 constexpr auto timeout = 2000ms;
+// more than the buffers of a connection hold
+constexpr std::size_t large_body = 30'000'000;
 const endpoint address = endpoint::parse("127.96.0.1:8080");
 
 runtime::http_response text_response(std::string body)
@@ -32,6 +35,8 @@
     CPPUNIT_TEST(responds_and_rejects_bad_requests);
     CPPUNIT_TEST(response_may_be_sent_later_from_any_thread);
     CPPUNIT_TEST(response_after_the_end_of_the_server_is_discarded);
+    CPPUNIT_TEST(slow_reader_counts_as_a_connection_until_it_has_its_response);
+    CPPUNIT_TEST(unfinished_requests_can_be_ended_with_a_response);
     CPPUNIT_TEST(announces_that_it_closes_a_connection);
     CPPUNIT_TEST(persistent_connection_that_the_server_closed_is_replaced);
     CPPUNIT_TEST(cancelled_call_returns_soon);
@@ -95,6 +100,45 @@
         CPPUNIT_ASSERT(!call.get());
     }
 
+    // guards against responses that a stopping node cuts off because no request is in flight any more
+    void slow_reader_counts_as_a_connection_until_it_has_its_response()
+    {
+        http_server server = make_server();
+        test_support::raw_connection caller{address};
+        caller.send("POST /large HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+        std::this_thread::sleep_for(100ms);
+        server.announce_close();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.in_flight());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connections());
+        caller.send("POST /echo HTTP/1.1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(caller.read_all().size() > large_body);
+        caller.close();
+        wait_until_closed(server);
+    }
+
+    void unfinished_requests_can_be_ended_with_a_response()
+    {
+        http_server server = make_server();
+        server.announce_close();
+        test_support::raw_connection running{address};
+        test_support::raw_connection partial{address};
+        running.send("POST /keep HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+        partial.send("POST /echo HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+        const http_responder responder = m_kept.get_future().get();
+        std::this_thread::sleep_for(50ms);
+        server.end_requests();
+        const std::string ended = running.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 502"}, ended.substr(0, 12));
+        CPPUNIT_ASSERT(ended.find("may_have_run") != std::string::npos);
+        const std::string refused = partial.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 503"}, refused.substr(0, 12));
+        CPPUNIT_ASSERT(refused.find("not_run") != std::string::npos);
+        responder(text_response("too late"));
+        running.close();
+        partial.close();
+        wait_until_closed(server);
+    }
+
     void announces_that_it_closes_a_connection()
     {
         http_server server = make_server();
@@ -130,6 +174,16 @@
     }
 
   private:
+    static void wait_until_closed(const http_server& server)
+    {
+        const auto end = std::chrono::steady_clock::now() + timeout;
+        while (server.connections() > 0 && std::chrono::steady_clock::now() < end)
+        {
+            std::this_thread::sleep_for(5ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.connections());
+    }
+
     http_server make_server()
     {
         return http_server{m_loop, address, max_body, handler()};
@@ -149,6 +203,11 @@
         {
             throw std::runtime_error("a fault of the handler");
         }
+        if (request.m_target == "/large")
+        {
+            respond(text_response(std::string(large_body, 'x')));
+            return;
+        }
         if (request.m_target == "/later")
         {
             m_later = std::thread{[respond]
