The soak counts a request that ran and got no answer

A status of 0 went unnoticed: the soak compared only answers that arrived with what upstreams ran. Now a request that ran, and whose connection ended without a response, is a broken promise unless its node was killed or paused meanwhile. A planned stop is no excuse.

--- a/tests/soak/soak-platform.cpp
+++ b/tests/soak/soak-platform.cpp
@@ -44,16 +44,26 @@
 constexpr auto drain_bound = 3s;
 constexpr auto drain_margin = 500ms;
 
+/// response to a request; status 0 if the connection ended without one
+struct given_answer
+{
+    std::string m_method;
+    unsigned m_status{0};
+    unsigned m_node{0};
+    soak_time m_sent_at{};
+    soak_time m_ended_at{}; ///< when the response was complete or the connection ended
+};
+
 /// responses that callers received, and violations found in them
 class promise_checker
 {
   public:
-    void on_answer(const std::string& id, const std::string& method, unsigned status)
+    void on_answer(const std::string& id, const given_answer& answer)
     {
         const std::scoped_lock lock{m_mutex};
-        m_answers[id] = {method, status};
+        m_answers[id] = answer;
         ++m_total;
-        m_served += status == 200 ? 1 : 0;
+        m_served += answer.m_status == 200 ? 1 : 0;
     }
 
     void broken(const std::string& what)
@@ -63,7 +73,7 @@
     }
 
     /// compares the responses with the requests that upstreams ran
-    void compare(const platform_fleet& fleet)
+    void compare(const platform_fleet& fleet, const node_disturbances& interrupted)
     {
         std::map<std::string, int> runs;
         for (const auto& upstream : fleet.upstreams())
@@ -89,6 +99,11 @@
             {
                 m_broken.push_back(id + " was reported as not run, but ran");
             }
+            if (answer.m_status == 0 && count > 0 &&
+                !was_disturbed(interrupted, answer.m_node, answer.m_sent_at, answer.m_ended_at))
+            {
+                m_broken.push_back(id + " ran, and its connection ended without a response");
+            }
         }
     }
 
@@ -105,12 +120,6 @@
     }
 
   private:
-    struct given_answer
-    {
-        std::string m_method;
-        unsigned m_status{0};
-    };
-
     mutable std::mutex m_mutex;
     std::map<std::string, given_answer> m_answers;
     std::vector<std::string> m_broken;
@@ -179,7 +188,7 @@
         }
         m_fleet.calm_upstreams();
         check_recovery(served - served_before, total - total_before);
-        m_checker.compare(m_fleet);
+        m_checker.compare(m_fleet, m_interrupted);
         check_drained();
         check_upstreams();
         return report(served, total);
@@ -205,7 +214,7 @@
             const auto sent_at = steady::now();
             const plain_answer answer =
                 connections[node - 1]->call(method, target, id, uses_old_key ? "key-2" : "key-1", 600ms);
-            m_checker.on_answer(id, method, uses_old_key && answer.m_status == 401 ? 401 : answer.m_status);
+            m_checker.on_answer(id, {method, answer.m_status, node, sent_at, steady::now()});
             check_answer(id, target, answer, uses_old_key, sent_at);
             std::this_thread::sleep_for(request_pause);
         }
@@ -282,6 +291,7 @@
             m_fleet.node(node).signal(SIGKILL);
             restart(node);
             disturb(node, began);
+            m_interrupted[node].push_back(m_disturbed[node].back());
             return;
         case 1:
             note("terminate node " + std::to_string(node));
@@ -297,6 +307,7 @@
             std::this_thread::sleep_for(time);
             m_fleet.node(node).signal(SIGCONT);
             disturb(node, began);
+            m_interrupted[node].push_back(m_disturbed[node].back());
             return;
         }
         case 3:
@@ -475,6 +486,7 @@
     steady::time_point m_began{steady::now()};
     std::atomic<std::uint64_t> m_sequence{2};
     node_disturbances m_disturbed;
+    node_disturbances m_interrupted; ///< those by a kill or a pause
     std::vector<std::string> m_plan;
 };
 
--- a/tests/soak/upstream_checks.cpp
+++ b/tests/soak/upstream_checks.cpp
@@ -23,6 +23,8 @@
     return static_cast<unsigned>(std::stoul(request_id.substr(request_id.rfind('n') + 1)));
 }
 
+} // namespace
+
 bool was_disturbed(const node_disturbances& disturbed, unsigned node, soak_time from, soak_time to)
 {
     const auto known = disturbed.find(node);
@@ -31,8 +33,6 @@
                        [&](const disturbance& each) { return each.m_to >= from && each.m_from <= to; });
 }
 
-} // namespace
-
 std::string request_id_of(unsigned caller, int request, unsigned node)
 {
     return std::to_string(caller) + "-" + std::to_string(request) + "-n" + std::to_string(node);
--- a/tests/soak/upstream_checks.hpp
+++ b/tests/soak/upstream_checks.hpp
@@ -23,6 +23,10 @@
 /// disturbances by node
 using node_disturbances = std::map<unsigned, std::vector<disturbance>>;
 
+/// whether a node was disturbed between two times
+[[nodiscard]] bool was_disturbed(const node_disturbances& disturbed, unsigned node, soak_time from,
+                                 soak_time to);
+
 /// id of a request that names the node to which its caller sent it
 [[nodiscard]] std::string request_id_of(unsigned caller, int request, unsigned node);
 
