--- a/packages/runtime/include/teasellead/runtime/client_connection.hpp
+++ b/packages/runtime/include/teasellead/runtime/client_connection.hpp
@@ -32,12 +32,21 @@
     not_connected, ///< the connection couldn't be established; nothing was sent
     not_sent,      ///< no byte of the request was sent
     lost,          ///< the connection failed, or was closed before the end of the response header
-    malformed      ///< the response is invalid, incomplete or too large, or too many responses were skipped
+    malformed ///< the response is invalid, incomplete or too large, too many responses were skipped, or one
+              ///< may be a late response to an earlier request
 };
 
 /// name of a failure as used in logs
 [[nodiscard]] std::string_view to_string(exchange_failure failure) noexcept;
 
+/// whether a response belongs to a request
+enum class response_match
+{
+    own,         ///< it names this request
+    other,       ///< it names another request
+    unidentified ///< it names no request
+};
+
 /// outcome of one exchange
 using exchange_result = std::variant<received_response, exchange_failure>;
 
@@ -52,8 +61,8 @@
     std::uint64_t m_max_body{default_max_response_body}; ///< in bytes; a larger response is malformed
     /// called just before the request is sent and may prevent it; if empty, the request is always sent
     std::function<bool()> m_may_send;
-    /// whether a response belongs to this request; others are skipped; if empty, every response belongs to it
-    std::function<bool(const http_response&)> m_matches_request;
+    /// whether a response belongs to this request; if empty, every response does
+    std::function<response_match(const http_response&)> m_match;
     /// called once with the outcome, but not after @ref client_connection::close
     std::function<void(exchange_result)> m_on_end;
 };
@@ -61,6 +70,9 @@
 /*!
 @brief persistent connection to an HTTP server that carries one request at a time
 
+Responses to other requests are skipped. One that names no request belongs to the only request that was sent
+so far; if there were earlier ones, it may be a second response to one of them, and the exchange fails.
+
 The connection is closed if bytes arrive that belong to no response, if only the end of the connection marks
 the end of a response, if the server asks for it, or if a response arrives before the request was sent
 completely. All functions must be called by the thread that runs the loop.
@@ -143,6 +155,7 @@
     [[nodiscard]] bool charge();
     void release_charge() noexcept;
     void parse();
+    [[nodiscard]] response_match match(const http_response& response) const;
     void on_response();
     void on_end_of_stream(bool is_clean);
     void fail(exchange_failure failure_after_sending);
@@ -162,6 +175,7 @@
     int m_skipped{0};         ///< interim responses, and responses to other requests, in the running exchange
     bool m_is_reading{false};
     bool m_is_sending{false};
+    std::uint64_t m_sent_requests{0};
     bool m_has_sent{false}; ///< whether bytes of the running request may have been sent
     time_point m_usable_until{time_point::max()};
     std::function<void()> m_on_closed;
--- a/packages/runtime/include/teasellead/runtime/wire_protocol.hpp
+++ b/packages/runtime/include/teasellead/runtime/wire_protocol.hpp
@@ -73,8 +73,8 @@
                                                      std::chrono::milliseconds time_left) const = 0;
 
     /// whether a response belongs to the request with the given id
-    [[nodiscard]] virtual bool is_response_to(const http_response& response,
-                                              const std::string& request_id) const = 0;
+    [[nodiscard]] virtual response_match match(const http_response& response,
+                                               const std::string& request_id) const = 0;
 
     /// interprets an upstream's complete response
     [[nodiscard]] virtual attempt_outcome read_response(received_response response) const = 0;
--- a/packages/runtime/src/client_connection.cpp
+++ b/packages/runtime/src/client_connection.cpp
@@ -132,6 +132,7 @@
     m_state = state::busy;
     m_is_sending = true;
     m_has_sent = true;
+    ++m_sent_requests;
     begin_response();
     asio::async_write(m_socket, asio::buffer(m_exchange->m_bytes),
                       [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
@@ -223,6 +224,13 @@
     }
 }
 
+response_match client_connection::match(const http_response& response) const
+{
+    const response_match found = m_exchange->m_match ? m_exchange->m_match(response) : response_match::own;
+    const bool is_only_request = m_sent_requests == 1;
+    return found == response_match::unidentified && is_only_request ? response_match::own : found;
+}
+
 void client_connection::on_response()
 {
     constexpr unsigned first_final_status = 200;
@@ -235,7 +243,13 @@
     }
     response.m_body = std::move(message.body());
     const bool is_interim = response.m_status < first_final_status;
-    if (is_interim || (m_exchange->m_matches_request && !m_exchange->m_matches_request(response)))
+    const response_match found = is_interim ? response_match::other : match(response);
+    if (found == response_match::unidentified)
+    {
+        fail(exchange_failure::malformed);
+        return;
+    }
+    if (found == response_match::other)
     {
         if (++m_skipped > max_skipped)
         {
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -150,10 +150,9 @@
     {
         return self->may_send();
     };
-    next.m_matches_request = [self = shared_from_this()](const http_response& response)
+    next.m_match = [self = shared_from_this()](const http_response& response)
     {
-        return self->m_environment.m_protocol.is_response_to(response,
-                                                             self->m_request.m_metadata.m_request_id);
+        return self->m_environment.m_protocol.match(response, self->m_request.m_metadata.m_request_id);
     };
     next.m_on_end = [self = shared_from_this(), attempt = action.m_attempt](exchange_result result)
     {
--- a/tests/unit/platform/unit-http-protocol.cpp
+++ b/tests/unit/platform/unit-http-protocol.cpp
@@ -175,9 +175,10 @@
 
     void responses_to_other_requests_are_detected()
     {
-        CPPUNIT_ASSERT(m_protocol.is_response_to({200, {{"Request-Id", "9c"}}, ""}, "9c"));
-        CPPUNIT_ASSERT(m_protocol.is_response_to({200, {}, ""}, "9c"));
-        CPPUNIT_ASSERT(!m_protocol.is_response_to({200, {{"Request-Id", "9d"}}, ""}, "9c"));
+        using runtime::response_match;
+        CPPUNIT_ASSERT(m_protocol.match({200, {{"Request-Id", "9c"}}, ""}, "9c") == response_match::own);
+        CPPUNIT_ASSERT(m_protocol.match({200, {{"Request-Id", "9d"}}, ""}, "9c") == response_match::other);
+        CPPUNIT_ASSERT(m_protocol.match({200, {}, ""}, "9c") == response_match::unidentified);
     }
 
     void fields_of_a_gathered_response()
--- a/tests/unit/runtime/unit-client-connection.cpp
+++ b/tests/unit/runtime/unit-client-connection.cpp
@@ -35,6 +35,7 @@
 {
     CPPUNIT_TEST_SUITE(client_connection_test);
     CPPUNIT_TEST(responses_and_reuse_of_the_connection);
+    CPPUNIT_TEST(response_without_id_belongs_to_the_first_request_only);
     CPPUNIT_TEST(endless_responses_are_aborted);
     CPPUNIT_TEST(connections_share_the_receive_budget);
     CPPUNIT_TEST(refused_connection_confirms_that_nothing_ran);
@@ -116,6 +117,44 @@
         }
     }
 
+    // guards against a late second response that is taken for the response to the next request: a refusal
+    // in it would prove, wrongly, that this one didn't run
+    void response_without_id_belongs_to_the_first_request_only()
+    {
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        loop_thread thread;
+        std::shared_ptr<client_connection> connection;
+        std::thread server = serve(refusal, ending::kept, 2);
+        std::vector<exchange_result> results;
+        for (int request = 0; request < 2; ++request)
+        {
+            std::promise<exchange_result> ended;
+            thread.run(
+                [&]
+                {
+                    if (!connection)
+                    {
+                        connection = std::make_shared<client_connection>(thread.loop(), m_clock,
+                                                                         server_address, 500ms);
+                    }
+                    connection->start(exchange_of([&ended](exchange_result result)
+                                                  { ended.set_value(std::move(result)); }));
+                });
+            results.push_back(ended.get_future().get());
+        }
+        bool is_closed = false;
+        thread.run(
+            [&]
+            {
+                is_closed = connection->is_closed();
+                connection->close();
+            });
+        server.join();
+        CPPUNIT_ASSERT_EQUAL(503U, std::get<received_response>(results[0]).m_response.m_status);
+        CPPUNIT_ASSERT(std::get<exchange_failure>(results[1]) == exchange_failure::malformed);
+        CPPUNIT_ASSERT(is_closed);
+    }
+
     /// the server sends until the client closes the connection
     void endless_responses_are_aborted()
     {
@@ -256,9 +295,14 @@
     {
         exchange next;
         next.m_bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-        next.m_matches_request = [](const http_response& response)
+        next.m_match = [](const http_response& response)
         {
-            return find_field(response.m_fields, "request-id").value_or("own") == "own";
+            const auto id = find_field(response.m_fields, "request-id");
+            if (!id)
+            {
+                return response_match::unidentified;
+            }
+            return id == "own" ? response_match::own : response_match::other;
         };
         next.m_on_end = std::move(on_end);
         return next;
@@ -274,20 +318,25 @@
         }
     }
 
-    /// accepts one connection, reads a request, replies with the bytes and ends the connection as given
-    std::thread serve(const std::string& bytes, ending end)
+    /// accepts one connection, replies with the bytes to each of some requests and ends the connection as
+    /// given
+    std::thread serve(const std::string& bytes, ending end, int requests = 1)
     {
         auto loop = std::make_shared<asio::io_context>();
         auto acceptor = std::make_shared<tcp::acceptor>(*loop, to_tcp(server_address), true);
         m_received.clear();
-        return std::thread{[this, loop, acceptor, bytes, end]
+        return std::thread{[this, loop, acceptor, bytes, end, requests]
                            {
                                tcp::socket socket{*loop};
                                acceptor->accept(socket);
                                boost::system::error_code ignored; // the client may close the connection first
-                               asio::read_until(socket, asio::dynamic_buffer(m_received), "\r\n\r\n",
-                                                ignored);
-                               asio::write(socket, asio::buffer(bytes), ignored);
+                               for (int request = 0; request < requests; ++request)
+                               {
+                                   m_received.clear();
+                                   asio::read_until(socket, asio::dynamic_buffer(m_received), "\r\n\r\n",
+                                                    ignored);
+                                   asio::write(socket, asio::buffer(bytes), ignored);
+                               }
                                if (end == ending::kept)
                                {
                                    std::string rest;
