--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -33,6 +33,7 @@
     duration
         m_max_configuration_age{}; ///< time without a confirmed configuration after which keys are refused
     duration m_grace_period{};     ///< time from the stop signal after which the process may be killed
+    duration m_report_period{std::chrono::milliseconds{1200}}; ///< how often upstreams renew their entries
     forwarding::attempt_budget_settings m_attempt_budget;
     account_bound m_account_bound;
 
--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -114,7 +114,7 @@
 void publication_agent::on_source_status(bool is_reachable, const std::string& reason)
 {
     m_follower.on_source(is_reachable, m_clock.now());
-    if (is_reachable)
+    if (is_reachable && may_have_expired_entries())
     {
         extend_expiry_grace(m_clock.now() + expiry_grace);
     }
@@ -122,6 +122,14 @@
                 is_reachable ? "source_regained" : "source_lost", {{"reason", reason}});
 }
 
+bool publication_agent::may_have_expired_entries() const
+{
+    // an entry expires after three periods without a report, and the last one before an outage may be up to
+    // one period old; half a period allows for irregular reports
+    const duration shortest_outage = m_platform.settings().m_report_period * 3 / 2;
+    return m_configuration_lease.age(m_clock.now()) >= shortest_outage;
+}
+
 void publication_agent::confirm(time_point confirmed_at)
 {
     if (m_has_invalid_item)
--- a/packages/runtime/src/publication_agent.hpp
+++ b/packages/runtime/src/publication_agent.hpp
@@ -72,6 +72,8 @@
     void apply_all(const std::vector<published_item>& items, std::string_view origin);
     void apply(const published_item& item);
     void confirm(time_point confirmed_at);
+    /// whether entries may have expired because the source was unreachable until now
+    [[nodiscard]] bool may_have_expired_entries() const;
     void extend_expiry_grace(time_point until);
     [[nodiscard]] bool is_in_expiry_grace() const;
 
