--- a/packages/runtime/include/teasellead/runtime/client_connection.hpp
+++ b/packages/runtime/include/teasellead/runtime/client_connection.hpp
@@ -31,9 +31,9 @@
 {
     not_connected, ///< the connection couldn't be established; nothing was sent
     not_sent,      ///< no byte of the request was sent
-    lost,          ///< the connection failed, or was closed before the end of the response header
-    malformed ///< the response is invalid, incomplete or too large, too many responses were skipped, or one
-              ///< may be a late response to an earlier request
+    lost,          ///< the connection failed, or was closed before the end of the response
+    malformed      ///< the response is invalid or too large, too many responses were skipped, or one
+                   ///< may be a late response to an earlier request
 };
 
 /// name of a failure as used in logs
