--- a/packages/fleet/include/teasellead/fleet/roster.hpp
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -116,6 +116,14 @@
         return has_converged(now) || (!m_nodes.empty() && is_calm);
     }
 
+    /*!
+    @brief whether a part of the fleet may exist of which this node knows nothing
+
+    True for a while after a start, unless most of the seeds are known: two parts that don't know each other
+    can't both know most of them. Seeds that stay unknown for long are assumed to be stale.
+    */
+    [[nodiscard]] bool may_be_isolated(time_point now) const;
+
     /// whether this node knows another node, or has concluded that it is alone
     [[nodiscard]] bool has_joined(time_point now) const;
 
@@ -172,6 +180,7 @@
     endpoint m_self;
     node_record m_own_record;
     std::vector<endpoint> m_seeds;
+    bool m_is_seed{false}; ///< whether this node is one of the seeds
     std::vector<endpoint> m_missing_seeds; ///< seeds of which no record was received yet
     roster_settings m_settings;
     time_point m_started_at;
--- a/packages/fleet/src/roster.cpp
+++ b/packages/fleet/src/roster.cpp
@@ -24,14 +24,14 @@
       m_seeds(std::move(seeds)), m_settings(settings), m_started_at(now), m_next_gossip(now),
       m_current_node_timeout(settings.m_node_timeout), m_reply_random(incarnation)
 {
-    std::erase(m_seeds, m_self);
+    m_is_seed = std::erase(m_seeds, m_self) > 0;
     m_missing_seeds = m_seeds;
 }
 
 void roster::set_seeds(std::vector<endpoint> seeds)
 {
     m_seeds = std::move(seeds);
-    std::erase(m_seeds, m_self);
+    m_is_seed = std::erase(m_seeds, m_self) > 0;
     m_missing_seeds = m_seeds;
     std::erase_if(m_missing_seeds, [this](const endpoint& seed) { return m_nodes.count(seed) > 0; });
 }
@@ -208,6 +208,13 @@
     return notice;
 }
 
+bool roster::may_be_isolated(time_point now) const
+{
+    const std::size_t seeds = m_seeds.size() + (m_is_seed ? 1 : 0);
+    const bool knows_most = m_missing_seeds.size() * 2 < seeds || seeds == 0;
+    return !knows_most && now - m_started_at < m_settings.m_partition_timeout;
+}
+
 bool roster::has_joined(time_point now) const
 {
     return !m_nodes.empty() || now - m_started_at >= m_settings.m_join_timeout;
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -190,7 +190,7 @@
     m_quotas.on_members({statuses, m_members.expected_nodes(now), m_members.has_agreed(now), m_is_leaving,
                          m_members.expected_local_nodes(now)},
                         now);
-    m_cold_starts.on_members(peers, m_members.has_converged(now));
+    m_cold_starts.on_members(peers, m_members.has_converged(now) && !m_members.may_be_isolated(now));
     if (counted != m_logged_node_count)
     {
         m_logged_node_count = counted;
--- a/tests/unit/fleet/unit-roster.cpp
+++ b/tests/unit/fleet/unit-roster.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
@@ -131,6 +132,7 @@
     CPPUNIT_TEST(all_nodes_discover_each_other);
     CPPUNIT_TEST(lone_node_counts_itself_after_the_joining_time);
     CPPUNIT_TEST(new_node_assumes_others_until_it_has_converged);
+    CPPUNIT_TEST(node_without_most_seeds_may_be_isolated);
     CPPUNIT_TEST(stopped_node_is_counted_until_it_cannot_serve);
     CPPUNIT_TEST(minority_keeps_counting_the_others);
     CPPUNIT_TEST(restarted_node_is_counted_although_its_counters_restart);
@@ -183,6 +185,41 @@
         }
     }
 
+    // guards against several nodes that reach no seed and each take themselves for the only one
+    void node_without_most_seeds_may_be_isolated()
+    {
+        struct row
+        {
+            std::vector<std::size_t> m_seeds;
+            std::vector<std::size_t> m_known;
+            duration m_age;
+            bool m_may_be_isolated;
+        };
+        const std::vector<row> rows{
+            {{}, {}, 2s, false},        {{5}, {}, 2s, false},
+            {{1}, {}, 2s, true},        {{1}, {1}, 2s, false},
+            {{1, 2}, {1}, 2s, true},    {{1, 2}, {1, 2}, 2s, false},
+            {{1, 2, 3}, {}, 2s, true},  {{1, 2, 3}, {4, 6}, 2s, true},
+            {{1, 2, 3}, {1}, 2s, true}, {{1, 2, 3}, {1, 3}, 2s, false},
+            {{5, 2, 3}, {}, 2s, true},  {{5, 2, 3}, {3}, 2s, false},
+            {{1, 2, 3}, {}, 29s, true}, {{1, 2, 3}, {}, 31s, false},
+        };
+        const endpoint self = gossip_fleet::address_of(5);
+        for (const row& each : rows)
+        {
+            std::vector<endpoint> seeds;
+            std::transform(each.m_seeds.begin(), each.m_seeds.end(), std::back_inserter(seeds),
+                           gossip_fleet::address_of);
+            roster node{self, "dc", 1, seeds, roster_settings{}, start};
+            for (const std::size_t known : each.m_known)
+            {
+                const endpoint address = gossip_fleet::address_of(known);
+                (void)node.on_notice(address, {{node_record{address, 1, 1, false, "dc"}}}, start);
+            }
+            CPPUNIT_ASSERT_EQUAL(each.m_may_be_isolated, node.may_be_isolated(start + each.m_age));
+        }
+    }
+
     void lone_node_counts_itself_after_the_joining_time()
     {
         gossip_fleet fleet{1, 1, 0.0};
