--- a/packages/fleet/include/teasellead/fleet/roster.hpp
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -180,7 +180,7 @@
     endpoint m_self;
     node_record m_own_record;
     std::vector<endpoint> m_seeds;
-    bool m_is_seed{false}; ///< whether this node is one of the seeds
+    bool m_is_seed{false};                 ///< whether this node is one of the seeds
     std::vector<endpoint> m_missing_seeds; ///< seeds of which no record was received yet
     roster_settings m_settings;
     time_point m_started_at;
