--- a/tests/unit/runtime/unit-publication-agent.cpp
+++ b/tests/unit/runtime/unit-publication-agent.cpp
@@ -142,7 +142,8 @@
 
     void remove()
     {
-        m_agent->on_changes({{instance, std::nullopt, ++m_revision}}, m_revision, m_clock.now());
+        ++m_revision;
+        m_agent->on_changes({{instance, std::nullopt, m_revision}}, m_revision, m_clock.now());
         m_removed_at = m_clock.now();
     }
 
