Name the end of open admission, and place the native node's lock in the lock order

The lock around the times of a stop was a plain mutex; locks have a level here. No behaviour changes.

--- a/packages/entry/include/teasellead/entry/node.hpp
+++ b/packages/entry/include/teasellead/entry/node.hpp
@@ -28,10 +28,10 @@
     /*!
     @brief stops gracefully
 
-    Reports not ready and announces the stop to the peers at once, accepts requests until the load balancer's
-    lag is over, then waits for the requests in flight.
+    Reports not ready and announces the stop to the peers at once, then follows a @ref runtime::stop_schedule
+    whose grace period is the stop timeout.
 
-    @return whether every accepted request was finished within the stop timeout
+    @return whether all requests ended by themselves, without being ended early by the stop
     */
     [[nodiscard]] bool stop();
 
--- a/packages/entry/include/teasellead/entry/request_handler.hpp
+++ b/packages/entry/include/teasellead/entry/request_handler.hpp
@@ -3,7 +3,6 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <variant>
@@ -16,6 +15,7 @@
 #include "teasellead/entry/worker_pool.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/current_revision.hpp"
+#include "teasellead/kernel/ordered_mutex.hpp"
 #include "teasellead/runtime/decision_log.hpp"
 #include "teasellead/runtime/stop_schedule.hpp"
 
@@ -81,7 +81,7 @@
 
     dependencies m_dependencies;
     std::atomic<std::uint64_t> m_last_seed{0};
-    mutable std::mutex m_stop_mutex;
+    mutable ordered_mutex<lock_level::stop> m_stop_mutex;
     std::optional<runtime::stop_schedule> m_stop; ///< once a stop has begun; guarded by m_stop_mutex
 };
 
--- a/packages/entry/src/request_handler.cpp
+++ b/packages/entry/src/request_handler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <variant>
 
--- a/packages/kernel/include/teasellead/kernel/ordered_mutex.hpp
+++ b/packages/kernel/include/teasellead/kernel/ordered_mutex.hpp
@@ -22,6 +22,7 @@
     completion = 80,       ///< replies to one search
     peer_outbox = 90,      ///< messages to peers
     revision = 95,         ///< current configuration revision
+    stop = 97,             ///< times of a stop
     metrics = 100          ///< counters and histograms
 };
 
--- a/packages/runtime/include/teasellead/runtime/forwarding_node.hpp
+++ b/packages/runtime/include/teasellead/runtime/forwarding_node.hpp
@@ -30,9 +30,10 @@
     forwarding_node& operator=(const forwarding_node&) = delete;
 
     /*!
-    @brief serves requests until SIGTERM or SIGINT, then waits for running requests within the grace period
+    @brief serves requests until SIGTERM or SIGINT, then stops within the grace period as @ref stop_schedule
+    says
 
-    @return whether all requests were finished
+    @return whether all requests ended by themselves, without being ended early by the stop
     */
     bool run();
 
--- a/packages/runtime/include/teasellead/runtime/stop_schedule.hpp
+++ b/packages/runtime/include/teasellead/runtime/stop_schedule.hpp
@@ -37,7 +37,7 @@
     */
     [[nodiscard]] bool admits(time_point now, time_point response_deadline) const noexcept
     {
-        return now < m_admission_narrows || response_deadline <= m_last_response;
+        return now < m_open_admission_end || response_deadline <= m_last_response;
     }
 
     /// from this time on the node accepts no connections and closes those without a request
@@ -61,7 +61,7 @@
     friend bool operator==(const stop_schedule&, const stop_schedule&) = default;
 
   private:
-    time_point m_admission_narrows;
+    time_point m_open_admission_end;
     time_point m_connections_close;
     time_point m_last_response;
     time_point m_process_end;
--- a/packages/runtime/src/stop_schedule.cpp
+++ b/packages/runtime/src/stop_schedule.cpp
@@ -10,10 +10,12 @@
 
 using std::chrono::milliseconds;
 
-// a stop that is noticed late, and requests that are read late, must not use up the time of a long request
+// for how long all requests are started, at most and as a fraction of the grace period; less than three
+// seconds, because the signal and the requests themselves may be noticed late
 constexpr milliseconds longest_open_admission{2900};
 constexpr int open_admission_divisor = 2;
-// time before the end of the grace period in which the last responses are written and the process ends
+// the end of the grace period, in which the last responses are written and the process ends; at most, and as
+// a fraction of the grace period
 constexpr milliseconds longest_closing_time{500};
 constexpr int closing_time_divisor = 8;
 
@@ -23,7 +25,7 @@
 {
     const duration closing_time =
         std::min<duration>(longest_closing_time, grace_period / closing_time_divisor);
-    m_admission_narrows =
+    m_open_admission_end =
         began + std::min<duration>(longest_open_admission, grace_period / open_admission_divisor);
     m_last_response = began + grace_period - closing_time;
     m_connections_close = std::min(began + balancer_lag, m_last_response);
