--- a/packages/fleet/src/roster.cpp
+++ b/packages/fleet/src/roster.cpp
@@ -20,12 +20,11 @@
 
 roster::roster(endpoint self, std::string data_centre, node_incarnation incarnation,
                std::vector<endpoint> seeds, roster_settings settings, time_point now)
-    : m_self(self), m_own_record{self, incarnation, 0, false, std::move(data_centre)},
-      m_seeds(std::move(seeds)), m_settings(settings), m_started_at(now), m_next_gossip(now),
-      m_current_node_timeout(settings.m_node_timeout), m_reply_random(incarnation)
+    : m_self(self), m_own_record{self, incarnation, 0, false, std::move(data_centre)}, m_settings(settings),
+      m_started_at(now), m_next_gossip(now), m_current_node_timeout(settings.m_node_timeout),
+      m_reply_random(incarnation)
 {
-    m_is_seed = std::erase(m_seeds, m_self) > 0;
-    m_missing_seeds = m_seeds;
+    set_seeds(std::move(seeds));
 }
 
 void roster::set_seeds(std::vector<endpoint> seeds)
