One refusal of a stopping node, one copy of the open sessions, one log entry of a refused request

The partial request's Retry-After is now written as 0.000 like the others, the same value. No other behaviour changes.

--- a/packages/runtime/include/teasellead/runtime/caller_server.hpp
+++ b/packages/runtime/include/teasellead/runtime/caller_server.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "teasellead/forwarding/route.hpp"
 #include "teasellead/runtime/asio.hpp"
@@ -82,6 +83,8 @@
     friend class caller_session;
 
     void accept();
+    /// a copy, since a session that ends removes itself from the set
+    [[nodiscard]] std::vector<std::shared_ptr<caller_session>> open_sessions() const;
 
     asio::io_context& m_loop;
     tcp::acceptor m_acceptor;
--- a/packages/runtime/include/teasellead/runtime/refusals.hpp
+++ b/packages/runtime/include/teasellead/runtime/refusals.hpp
@@ -20,4 +20,7 @@
 */
 [[nodiscard]] http_response refusal(unsigned status, std::chrono::milliseconds retry_after);
 
+/// the refusal of a node that stops; other nodes can serve the request at once
+[[nodiscard]] http_response stopping_refusal();
+
 } // namespace teasellead::runtime
--- a/packages/runtime/src/caller_request_handler.cpp
+++ b/packages/runtime/src/caller_request_handler.cpp
@@ -12,8 +12,6 @@
 {
 
 constexpr std::chrono::milliseconds quota_check_interval{20};
-// other nodes can serve the request at once
-constexpr std::chrono::milliseconds stopping_retry_after{0};
 
 } // namespace
 
@@ -156,16 +154,19 @@
                                                const respond_function& respond)
 {
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(retry_after);
-    reject(request.m_metadata.m_request_id,
-           {refusal(too_many_requests, wait), request.m_route->m_name, request.m_account, "over_limit"},
-           m_environment.m_clock.now() - request.m_dispatch.m_arrived, respond);
+    refuse(request, refusal(too_many_requests, wait), "over_limit", respond);
 }
 
 void caller_request_handler::refuse_stopping(const admitted_request& request, const respond_function& respond)
+{
+    refuse(request, stopping_refusal(), forwarding::to_string(forwarding::failure_reason::stopping), respond);
+}
+
+void caller_request_handler::refuse(const admitted_request& request, http_response response,
+                                    std::string_view reason, const respond_function& respond)
 {
     reject(request.m_metadata.m_request_id,
-           {refusal(service_unavailable, stopping_retry_after), request.m_route->m_name, request.m_account,
-            "stopping"},
+           {std::move(response), request.m_route->m_name, request.m_account, reason},
            m_environment.m_clock.now() - request.m_dispatch.m_arrived, respond);
 }
 
--- a/packages/runtime/src/caller_request_handler.hpp
+++ b/packages/runtime/src/caller_request_handler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 
 #include "admission.hpp"
@@ -65,6 +66,8 @@
 
     void reject(const std::string& request_id, const rejection& rejected, duration waited,
                 const respond_function& respond);
+    void refuse(const admitted_request& request, http_response response, std::string_view reason,
+                const respond_function& respond);
     void refuse_over_limit(const admitted_request& request, duration retry_after,
                            const respond_function& respond);
     void refuse_stopping(const admitted_request& request, const respond_function& respond);
--- a/packages/runtime/src/caller_server.cpp
+++ b/packages/runtime/src/caller_server.cpp
@@ -1,7 +1,6 @@
 #include "teasellead/runtime/caller_server.hpp"
 
 #include <fcntl.h>
-#include <vector>
 
 #include "caller_session.hpp"
 #include "teasellead/kernel/exceptions.hpp"
@@ -38,8 +37,7 @@
 
 caller_server::~caller_server()
 {
-    const std::vector<std::shared_ptr<caller_session>> sessions{m_sessions.begin(), m_sessions.end()};
-    for (const auto& session : sessions)
+    for (const auto& session : open_sessions())
     {
         session->close();
     }
@@ -91,8 +89,7 @@
 {
     boost::system::error_code ignored; // the acceptor may already be closed
     m_acceptor.close(ignored);
-    const std::vector<std::shared_ptr<caller_session>> sessions{m_sessions.begin(), m_sessions.end()};
-    for (const auto& session : sessions)
+    for (const auto& session : open_sessions())
     {
         session->close_if_idle();
     }
@@ -100,8 +97,7 @@
 
 void caller_server::end_requests(const http_response& response)
 {
-    const std::vector<std::shared_ptr<caller_session>> sessions{m_sessions.begin(), m_sessions.end()};
-    for (const auto& session : sessions)
+    for (const auto& session : open_sessions())
     {
         session->respond(response);
     }
@@ -109,13 +105,17 @@
 
 void caller_server::refuse_partial_requests()
 {
-    const std::vector<std::shared_ptr<caller_session>> sessions{m_sessions.begin(), m_sessions.end()};
-    for (const auto& session : sessions)
+    for (const auto& session : open_sessions())
     {
         session->refuse_partial_request();
     }
 }
 
+std::vector<std::shared_ptr<caller_session>> caller_server::open_sessions() const
+{
+    return {m_sessions.begin(), m_sessions.end()};
+}
+
 std::size_t caller_server::in_flight() const noexcept
 {
     return m_in_flight;
--- a/packages/runtime/src/caller_session.cpp
+++ b/packages/runtime/src/caller_session.cpp
@@ -319,7 +319,8 @@
 {
     if (m_phase == phase::reading)
     {
-        reject(service_unavailable, {{"Retry-After", "0"}});
+        http_response refused = stopping_refusal();
+        reject(refused.m_status, std::move(refused.m_fields));
     }
 }
 
--- a/packages/runtime/src/refusals.cpp
+++ b/packages/runtime/src/refusals.cpp
@@ -14,4 +14,9 @@
     return {status, {{"Retry-After", text.data()}}, {}};
 }
 
+http_response stopping_refusal()
+{
+    return refusal(service_unavailable, std::chrono::milliseconds::zero());
+}
+
 } // namespace teasellead::runtime
