Tests: one count of runs, one record of an interrupted node

runs_of stood in process-platform and process-stop alike and is a function of platform_fleet; kills and pauses of the soak are recorded in one place. All assertions are as before.

--- a/tests/process/process-platform.cpp
+++ b/tests/process/process-platform.cpp
@@ -21,19 +21,6 @@
 constexpr unsigned net = 91;
 constexpr int caller_count = 8;
 
-std::size_t runs_of(const platform_fleet& fleet, const std::string& request_id)
-{
-    std::size_t count = 0;
-    for (const auto& upstream : fleet.upstreams())
-    {
-        const auto runs = upstream->runs();
-        count += static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(),
-                                                        [&request_id](const upstream_run& run)
-                                                        { return run.m_request_id == request_id; }));
-    }
-    return count;
-}
-
 /// repeats a check until it succeeds or the limit is reached
 bool holds_soon(const std::function<bool()>& check, std::chrono::milliseconds limit = 5000ms)
 {
@@ -115,7 +102,7 @@
             CPPUNIT_ASSERT_EQUAL(503U, refused.m_status);
             CPPUNIT_ASSERT(!refused.field("Retry-After").empty());
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, runs_of(fleet, "last"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.runs_of("last"));
         // a restarted node receives the record from its peers
         fleet.node(2).signal(SIGKILL);
         fleet.node(2).wait();
@@ -143,7 +130,7 @@
         CPPUNIT_ASSERT_EQUAL(200U, all.m_status);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3 * 16}, all.m_body.size());
         CPPUNIT_ASSERT(all.m_body.substr(0, 7) == "shard-c");
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs_of(fleet, "r1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.runs_of("r1"));
         const auto runs = fleet.upstreams().back()->runs();
         CPPUNIT_ASSERT(std::all_of(runs.begin(), runs.end(),
                                    [](const upstream_run& run) { return run.m_account == "school"; }));
@@ -165,7 +152,7 @@
         {
             CPPUNIT_ASSERT_EQUAL(each.m_status, caller.call("GET", each.m_target, "r", each.m_key).m_status);
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, runs_of(fleet, "r"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.runs_of("r"));
     }
 
     void withdrawn_key_stops_working()
@@ -211,7 +198,7 @@
         plain_caller caller{fleet.callers_of(1)};
         const plain_answer booked = caller.call("POST", "/book/x", "b1", "key-1", 400ms);
         CPPUNIT_ASSERT(booked.m_status == 504 || booked.m_status == 502);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs_of(fleet, "b1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.runs_of("b1"));
     }
 
     void reply_to_another_request_reaches_no_caller()
@@ -239,7 +226,7 @@
         const plain_answer refused = caller.call("GET", "/read/x", "k1", "key-1");
         CPPUNIT_ASSERT_EQUAL(503U, refused.m_status);
         CPPUNIT_ASSERT(!refused.field("Retry-After").empty());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, runs_of(fleet, "k1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.runs_of("k1"));
         fleet.store().set_mode(store_mode::up);
         CPPUNIT_ASSERT(
             holds_soon([&] { return caller.call("GET", "/read/x", "k2", "key-1").m_status == 200; }));
--- a/tests/process/process-stop.cpp
+++ b/tests/process/process-stop.cpp
@@ -1,6 +1,5 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <csignal>
 #include <mutex>
 #include <string>
@@ -39,20 +38,6 @@
     milliseconds m_latency{0};
 };
 
-/// runs of requests by all upstreams
-std::size_t runs_of(const platform_fleet& fleet, const std::string& request_id)
-{
-    std::size_t count = 0;
-    for (const auto& upstream : fleet.upstreams())
-    {
-        const auto runs = upstream->runs();
-        count += static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(),
-                                                        [&request_id](const upstream_run& run)
-                                                        { return run.m_request_id == request_id; }));
-    }
-    return count;
-}
-
 std::string id_of(std::size_t number)
 {
     return "planned-" + std::to_string(number);
@@ -126,7 +111,7 @@
             {
                 CPPUNIT_ASSERT_MESSAGE(what, got.m_latency < prompt);
                 CPPUNIT_ASSERT_MESSAGE(what, !got.m_answer.field("Retry-After").empty());
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{0}, runs_of(m_fleet, id_of(number)));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{0}, m_fleet.runs_of(id_of(number)));
             }
         }
     }
@@ -185,7 +170,7 @@
         std::this_thread::sleep_until(run.stop_at() + 3300ms);
         slow_sender.send("ot");
         CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 503"}, slow_sender.read_all().substr(0, 12));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, runs_of(fleet, "slow-body"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.runs_of("slow-body"));
         const int exit_code = fleet.node(first_node).wait();
         run.join();
         run.check();
--- a/tests/soak/soak-platform.cpp
+++ b/tests/soak/soak-platform.cpp
@@ -253,6 +253,13 @@
         m_disturbed[node].push_back({from, steady::now()});
     }
 
+    /// records a kill or a pause, which may also leave requests without a response
+    void interrupt(unsigned node, steady::time_point from)
+    {
+        disturb(node, from);
+        m_interrupted[node].push_back(m_disturbed[node].back());
+    }
+
     void check_answer(const std::string& id, const std::string& target, const plain_answer& answer,
                       bool uses_old_key, steady::time_point sent_at)
     {
@@ -290,8 +297,7 @@
             note("kill node " + std::to_string(node));
             m_fleet.node(node).signal(SIGKILL);
             restart(node);
-            disturb(node, began);
-            m_interrupted[node].push_back(m_disturbed[node].back());
+            interrupt(node, began);
             return;
         case 1:
             note("terminate node " + std::to_string(node));
@@ -306,8 +312,7 @@
             m_fleet.node(node).signal(SIGSTOP);
             std::this_thread::sleep_for(time);
             m_fleet.node(node).signal(SIGCONT);
-            disturb(node, began);
-            m_interrupted[node].push_back(m_disturbed[node].back());
+            interrupt(node, began);
             return;
         }
         case 3:
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -1,5 +1,6 @@
 #include "platform_fleet.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -110,6 +111,19 @@
     return result;
 }
 
+std::size_t platform_fleet::runs_of(const std::string& request_id) const
+{
+    std::size_t count = 0;
+    for (const auto& upstream : m_upstreams)
+    {
+        const auto runs = upstream->runs();
+        count += static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(),
+                                                        [&request_id](const upstream_run& run)
+                                                        { return run.m_request_id == request_id; }));
+    }
+    return count;
+}
+
 void platform_fleet::calm_upstreams()
 {
     for (const auto& upstream : m_upstreams)
--- a/tests/support/platform_fleet.hpp
+++ b/tests/support/platform_fleet.hpp
@@ -79,6 +79,9 @@
         return m_upstreams;
     }
 
+    /// number of times that upstreams have run a request
+    [[nodiscard]] std::size_t runs_of(const std::string& request_id) const;
+
     /// resets the behaviour of all upstreams, and removes their restart callbacks
     void calm_upstreams();
 
