Tell late readers, full links and a late event loop apart in lines and metrics

Change: the line configuration has origin, revision and an upper bound of its delay; the same as a histogram. Histogram of the event loop's delay, line loop_late from 500 ms. Counters of a follower's requests by result, of the bytes that a reader relays and of whole listings. The histogram of requests is one of these histograms now.

--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -32,6 +32,17 @@
     friend bool operator==(const follower_settings&, const follower_settings&) = default;
 };
 
+/// how the requests of a node to its peers ended
+struct follower_counts
+{
+    std::uint64_t m_from_readers{0}; ///< answered by a peer that reads the source
+    std::uint64_t m_from_others{0};  ///< answered by another peer
+    std::uint64_t m_unanswered{0};   ///< without an answer in time
+    std::uint64_t m_late{0};         ///< answers that came after that time
+
+    friend bool operator==(const follower_counts&, const follower_counts&) = default;
+};
+
 /// updates that a peer sent
 struct peer_updates
 {
@@ -116,6 +127,11 @@
     [[nodiscard]] std::optional<peer_updates> on_reply(const endpoint& sender, const publication_reply& reply,
                                                        publication_log& known);
 
+    [[nodiscard]] const follower_counts& counts() const noexcept
+    {
+        return m_counts;
+    }
+
   private:
     [[nodiscard]] bool is_designated() const;
     [[nodiscard]] std::optional<endpoint> choose_peer(time_point now);
@@ -142,6 +158,7 @@
     /// when a peer that reads the source last replied, or when this node last read the source itself
     time_point m_reader_seen_at{};
     time_point m_next_request{};
+    follower_counts m_counts;
 };
 
 } // namespace teasellead
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -108,6 +108,7 @@
     {
         m_is_waiting = false;
         m_next_request = now;
+        ++m_counts.m_unanswered;
         on_request_failed(now);
     }
     // before the first tick no peer could be asked
@@ -207,17 +208,20 @@
 {
     if (!m_is_waiting || reply.m_call != m_call || sender != m_asked_peer)
     {
+        ++m_counts.m_late;
         return std::nullopt;
     }
     m_is_waiting = false;
     if (is_from_reader(reply))
     {
+        ++m_counts.m_from_readers;
         m_reader_seen_at = m_requested_at;
         m_failures = 0;
         m_first_usable_rank = m_rank;
     }
     else
     {
+        ++m_counts.m_from_others;
         on_request_failed(m_requested_at);
     }
     peer_updates updates;
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -71,6 +72,16 @@
     friend bool operator==(const irrelevant_item&, const irrelevant_item&) = default;
 };
 
+/// a configuration as a node received it
+struct received_declarations
+{
+    forwarding::declarations m_content;
+    std::uint64_t m_revision{0}; ///< of the item that holds it
+    std::string_view m_origin;   ///< `source` or `peer`
+    /// upper bound of the time since it was published
+    duration m_delay_bound{duration::zero()};
+};
+
 /// decoded form of a published item
 using publication = std::variant<irrelevant_item, forwarding::declarations, upstream_published,
                                  upstream_withdrawn, data_centre_evacuated>;
--- a/packages/runtime/include/teasellead/runtime/request_log.hpp
+++ b/packages/runtime/include/teasellead/runtime/request_log.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -8,6 +7,7 @@
 
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/runtime/decision_log.hpp"
+#include "teasellead/runtime/histogram.hpp"
 
 namespace teasellead::runtime
 {
@@ -67,8 +67,6 @@
     [[nodiscard]] std::string exposition() const;
 
   private:
-    static constexpr std::array<double, 10> bucket_bounds_ms{5, 10, 25, 50, 75, 100, 250, 500, 1000, 5000};
-
     struct line_rate
     {
         double m_tokens{0.0};
@@ -80,9 +78,7 @@
     struct route_counts
     {
         std::map<std::string, std::uint64_t> m_outcomes; ///< by outcome and reason
-        std::array<std::uint64_t, bucket_bounds_ms.size() + 1> m_buckets{};
-        double m_sum_ms{0.0};
-        std::uint64_t m_count{0};
+        histogram m_latencies;
     };
 
     [[nodiscard]] std::string attempts_exposition() const;
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -26,7 +26,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds tick_period{100};
 constexpr milliseconds connect_timeout{400};
 constexpr unsigned ok = 200;
 // longest time from the first failed readiness check until a load balancer sends no more requests
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -77,13 +77,14 @@
                          }},
       m_publications(platform, loop, clock, platform.settings().m_peer_address, m_configuration_lease,
                      m_directory, log,
-                     [this](forwarding::declarations next) { on_declarations(std::move(next)); })
+                     [this](received_declarations next) { on_declarations(std::move(next)); })
 {
 }
 
 messages node_state::on_tick(bool is_leaving)
 {
     const time_point now = m_clock.now();
+    observe_loop(now);
     m_is_leaving = m_is_leaving || is_leaving;
     messages result = m_members.on_tick(is_leaving, m_random, now);
     m_publications.on_members(m_members.peers(true, now), m_members.peers(false, now));
@@ -162,17 +163,41 @@
     return m_table && m_publications.is_complete() && m_members.has_joined(m_clock.now());
 }
 
-void node_state::on_declarations(forwarding::declarations next)
+void node_state::observe_loop(time_point now)
 {
+    constexpr std::chrono::milliseconds notable_delay{500};
+    if (m_ticked_at)
+    {
+        const duration delay = std::max<duration>(now - *m_ticked_at - tick_period, duration::zero());
+        m_loop_delays.add(delay);
+        if (delay >= notable_delay)
+        {
+            m_log.write(log_level::warning, "loop_late", {{"delay_ms", whole_milliseconds(delay)}});
+        }
+    }
+    m_ticked_at = now;
+}
+
+void node_state::on_declarations(received_declarations received)
+{
+    forwarding::declarations& next = received.m_content;
     if (m_table && next.m_version <= m_table->version())
     {
         return;
     }
-    m_log.write(log_level::info, "configuration",
-                {{"version", next.m_version},
-                 {"previous", m_table ? m_table->version() : std::uint64_t{0}},
-                 {"routes", std::uint64_t{next.m_routes.size()}},
-                 {"accounts", std::uint64_t{next.m_accounts.size()}}});
+    m_log.write(
+        log_level::info, "configuration",
+        {{"version", next.m_version},
+         {"previous", m_table ? m_table->version() : std::uint64_t{0}},
+         {"routes", std::uint64_t{next.m_routes.size()}},
+         {"accounts", std::uint64_t{next.m_accounts.size()}},
+         {"revision", received.m_revision},
+         {"origin", received.m_origin},
+         {"delay_bound_ms", m_table ? whole_milliseconds(received.m_delay_bound) : std::uint64_t{0}}});
+    if (m_table)
+    {
+        m_configuration_delays.add(received.m_delay_bound);
+    }
     m_table = std::make_shared<const forwarding::route_table>(std::move(next));
     m_cold_starts.on_services(m_table->content().m_services);
     m_quotas.on_declarations(m_table->content().m_accounts, m_clock.now());
@@ -269,7 +294,10 @@
            exposition_line("teasellead_refused_requests", "gauge",
                            m_crashes.count(forwarding::request_restriction::refused)) +
            exposition_line("teasellead_upstreams_ended_total", "counter", m_ended_upstreams) +
-           exposition_line("teasellead_source_calls_total", "counter", m_publications.calls());
+           m_publications.exposition() + "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
+           m_configuration_delays.lines("teasellead_configuration_delay_milliseconds") +
+           "# TYPE teasellead_loop_delay_milliseconds histogram\n" +
+           m_loop_delays.lines("teasellead_loop_delay_milliseconds");
 }
 
 } // namespace teasellead::runtime
--- a/packages/runtime/src/node_state.hpp
+++ b/packages/runtime/src/node_state.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +16,7 @@
 #include "teasellead/forwarding/route_table.hpp"
 #include "teasellead/kernel/random.hpp"
 #include "teasellead/runtime/deployment.hpp"
+#include "teasellead/runtime/histogram.hpp"
 #include "teasellead/runtime/request_log.hpp"
 
 namespace teasellead::runtime
@@ -29,6 +32,9 @@
     std::function<void(const forwarding::shared_route_table&)> m_on_route_table;
 };
 
+/// time between two calls of @ref node_state::on_tick
+inline constexpr std::chrono::milliseconds tick_period{100};
+
 /*!
 @brief state of a node that depends on other nodes: membership, rate limits, crash records and published items
 
@@ -55,7 +61,7 @@
     node_state& operator=(const node_state&) = delete;
 
     /*!
-    @brief performs periodic work; must be called every 100 ms
+    @brief performs periodic work; must be called every @ref tick_period
 
     @param[in] is_leaving  whether the node is stopping
 
@@ -136,7 +142,8 @@
     [[nodiscard]] std::string exposition() const;
 
   private:
-    void on_declarations(forwarding::declarations next);
+    void on_declarations(received_declarations next);
+    void observe_loop(time_point now);
     void apply_membership(time_point now);
     void log_freshness(time_point now);
     void process_ended_upstreams();
@@ -164,6 +171,9 @@
     std::size_t m_node_count{1}; ///< nodes among which connections and the attempt budget are divided
     std::size_t m_logged_node_count{0};
     std::uint64_t m_ended_upstreams{0};
+    std::optional<time_point> m_ticked_at; ///< time of the previous tick
+    histogram m_loop_delays;               ///< how much later than planned ticks came
+    histogram m_configuration_delays;      ///< upper bounds of the times until configurations were received
 };
 
 } // namespace teasellead::runtime
--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -1,6 +1,7 @@
 #include "publication_agent.hpp"
 
 #include <algorithm>
+#include <sstream>
 
 #include "teasellead/kernel/exceptions.hpp"
 #include "teasellead/kernel/overloaded.hpp"
@@ -16,6 +17,16 @@
 // entries that expired while the source was unreachable are published again within this time of its return
 constexpr milliseconds expiry_grace{2200};
 
+std::uint64_t size_of(const std::vector<published_item>& items)
+{
+    std::uint64_t bytes = 0;
+    for (const published_item& item : items)
+    {
+        bytes += item.m_key.size() + (item.m_value ? item.m_value->size() : 0);
+    }
+    return bytes;
+}
+
 std::string state_of(const forwarding::directory_item& item)
 {
     if (!item.m_entry)
@@ -31,7 +42,7 @@
                                      const monotonic_clock& clock, const endpoint& self,
                                      forwarding::configuration_lease& lease,
                                      forwarding::upstream_directory& directory, request_log& log,
-                                     std::function<void(forwarding::declarations)> on_declarations)
+                                     std::function<void(received_declarations)> on_declarations)
     : m_platform(platform), m_clock(clock), m_configuration_lease(lease), m_directory(directory), m_log(log),
       m_on_declarations(std::move(on_declarations)),
       m_follower(self, follower_settings::for_freshness(platform.settings().m_max_configuration_age),
@@ -71,12 +82,35 @@
     return m_follower.on_tick(m_items.as_of(), now);
 }
 
-outgoing_message publication_agent::on_request(const endpoint& sender,
-                                               const publication_request& request) const
+outgoing_message publication_agent::on_request(const endpoint& sender, const publication_request& request)
 {
     const time_point now = m_clock.now();
-    return m_follower.answer(sender, request, m_items, std::max(duration::zero(), m_expiry_grace_end - now),
-                             now);
+    outgoing_message result = m_follower.answer(sender, request, m_items,
+                                                std::max(duration::zero(), m_expiry_grace_end - now), now);
+    const auto& reply = std::get<publication_reply>(result.m_content);
+    m_full_replies += reply.m_is_full ? 1 : 0;
+    const std::uint64_t bytes = size_of(reply.m_items);
+    m_relayed_bytes += bytes;
+    m_relayed_at_most = std::max(m_relayed_at_most, bytes);
+    return result;
+}
+
+std::string publication_agent::exposition() const
+{
+    const follower_counts& counts = m_follower.counts();
+    std::ostringstream text;
+    text << "# HELP teasellead_publication_requests_total Requests for published items to peers, by result.\n"
+            "# TYPE teasellead_publication_requests_total counter\n";
+    constexpr std::string_view name = "teasellead_publication_requests_total{result=\"";
+    text << name << "reader\"} " << counts.m_from_readers << '\n'
+         << name << "not_reader\"} " << counts.m_from_others << '\n'
+         << name << "unanswered\"} " << counts.m_unanswered << '\n'
+         << name << "late\"} " << counts.m_late << '\n';
+    return text.str() +
+           exposition_line("teasellead_publication_full_replies_total", "counter", m_full_replies) +
+           exposition_line("teasellead_publication_relayed_bytes_total", "counter", m_relayed_bytes) +
+           exposition_line("teasellead_publication_largest_reply_bytes", "gauge", m_relayed_at_most) +
+           exposition_line("teasellead_source_calls_total", "counter", calls());
 }
 
 void publication_agent::on_reply(const endpoint& sender, const publication_reply& reply)
@@ -156,7 +190,7 @@
     {
         try
         {
-            apply(item);
+            apply(item, origin);
         }
         catch (const protocol_error& error)
         {
@@ -168,15 +202,17 @@
     }
 }
 
-void publication_agent::apply(const published_item& item)
+void publication_agent::apply(const published_item& item, std::string_view origin)
 {
     publication meaning = m_platform.decode(item);
     std::visit(
         overloaded{[](const irrelevant_item&) {},
-                   [this](forwarding::declarations& next)
+                   [this, &item, origin](forwarding::declarations& next)
                    {
                        m_has_invalid_item = false;
-                       m_on_declarations(std::move(next));
+                       // a change that was published before the last confirmation is known already
+                       m_on_declarations({std::move(next), item.m_revision, origin,
+                                          m_configuration_lease.age(m_clock.now())});
                    },
                    [this](const upstream_published& each)
                    {
--- a/packages/runtime/src/publication_agent.hpp
+++ b/packages/runtime/src/publication_agent.hpp
@@ -35,7 +35,7 @@
     publication_agent(const deployment& platform, asio::io_context& loop, const monotonic_clock& clock,
                       const endpoint& self, forwarding::configuration_lease& lease,
                       forwarding::upstream_directory& directory, request_log& log,
-                      std::function<void(forwarding::declarations)> on_declarations);
+                      std::function<void(received_declarations)> on_declarations);
 
     /// whether a complete listing of the published items has been received
     [[nodiscard]] bool is_complete() const noexcept
@@ -49,6 +49,9 @@
         return m_source->calls();
     }
 
+    /// counters of the requests to peers and of the bytes sent to them, in the text exposition format
+    [[nodiscard]] std::string exposition() const;
+
     /// sets the nodes that may relay items: those of this node's data centre, and those of others
     void on_members(std::vector<endpoint> local, std::vector<endpoint> others);
 
@@ -56,8 +59,7 @@
     [[nodiscard]] std::vector<outgoing_message> on_tick();
 
     /// creates the reply to a peer's request for items
-    [[nodiscard]] outgoing_message on_request(const endpoint& sender,
-                                              const publication_request& request) const;
+    [[nodiscard]] outgoing_message on_request(const endpoint& sender, const publication_request& request);
 
     /// applies the items of a peer's reply
     void on_reply(const endpoint& sender, const publication_reply& reply);
@@ -70,7 +72,7 @@
 
   private:
     void apply_all(const std::vector<published_item>& items, std::string_view origin);
-    void apply(const published_item& item);
+    void apply(const published_item& item, std::string_view origin);
     void confirm(time_point confirmed_at);
     /// whether entries may have expired because the source was unreachable until now
     [[nodiscard]] bool may_have_expired_entries() const;
@@ -82,7 +84,7 @@
     forwarding::configuration_lease& m_configuration_lease;
     forwarding::upstream_directory& m_directory;
     request_log& m_log;
-    std::function<void(forwarding::declarations)> m_on_declarations;
+    std::function<void(received_declarations)> m_on_declarations;
     publication_log m_items;
     publication_follower m_follower;
     std::unique_ptr<publication_source> m_source;
@@ -93,6 +95,9 @@
     bool m_has_expired_entries{false}; ///< whether the directory keeps removed entries
     bool m_has_invalid_item{false};    ///< whether an item was invalid since the latest valid configuration
     bool m_reads_source{false};
+    std::uint64_t m_full_replies{0};    ///< replies that listed all items
+    std::uint64_t m_relayed_bytes{0};   ///< bytes of the items in all replies
+    std::uint64_t m_relayed_at_most{0}; ///< bytes of the items in the largest reply
 };
 
 } // namespace teasellead::runtime
--- a/packages/runtime/src/request_log.cpp
+++ b/packages/runtime/src/request_log.cpp
@@ -75,10 +75,7 @@
     ++counts.m_outcomes["outcome=\"" + std::string{entry.m_outcome} + "\",reason=\"" +
                         std::string{entry.m_reason} + "\""];
     const double latency_ms = milliseconds_of(entry.m_latency);
-    const auto bucket = std::lower_bound(bucket_bounds_ms.begin(), bucket_bounds_ms.end(), latency_ms);
-    ++counts.m_buckets.at(static_cast<std::size_t>(bucket - bucket_bounds_ms.begin()));
-    counts.m_sum_ms += latency_ms;
-    ++counts.m_count;
+    counts.m_latencies.add(entry.m_latency);
 
     const bool is_served = entry.m_reason.empty();
     const std::string_view kind = is_served ? "request_served" : "request_unserved";
@@ -148,17 +145,7 @@
             "# TYPE teasellead_request_milliseconds histogram\n";
     for (const auto& [route, counts] : m_routes)
     {
-        std::uint64_t below = 0;
-        for (std::size_t i = 0; i < bucket_bounds_ms.size(); ++i)
-        {
-            below += counts.m_buckets.at(i);
-            text << "teasellead_request_milliseconds_bucket{route=\"" << route << "\",le=\""
-                 << bucket_bounds_ms.at(i) << "\"} " << below << '\n';
-        }
-        text << "teasellead_request_milliseconds_bucket{route=\"" << route << "\",le=\"+Inf\"} "
-             << counts.m_count << "\nteasellead_request_milliseconds_sum{route=\"" << route << "\"} "
-             << counts.m_sum_ms << "\nteasellead_request_milliseconds_count{route=\"" << route << "\"} "
-             << counts.m_count << '\n';
+        text << counts.m_latencies.lines("teasellead_request_milliseconds", "route=\"" + route + "\"");
     }
     text << attempts_exposition();
     text << "# HELP teasellead_log_lines_dropped_total Log lines dropped because the reader was too slow.\n"
--- a/tests/unit/runtime/unit-publication-agent.cpp
+++ b/tests/unit/runtime/unit-publication-agent.cpp
@@ -85,7 +85,7 @@
     {
         m_clock.advance(1h);
         m_agent = std::make_unique<publication_agent>(m_platform, m_loop, m_clock, endpoint{1, 7000}, m_lease,
-                                                      m_directory, m_log, [](forwarding::declarations) {});
+                                                      m_directory, m_log, [](received_declarations) {});
         m_agent->on_listing({{instance, "ready", 1}}, 1, m_clock.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_directory.size());
     }
