--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -7,6 +7,7 @@
 
 #include "teasellead/fleet/messages.hpp"
 #include "teasellead/fleet/publication_log.hpp"
+#include "teasellead/fleet/source_call_schedule.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/random.hpp"
 
@@ -21,13 +22,18 @@
     duration m_reply_timeout{std::chrono::milliseconds{250}};
     /// time without a reply of a peer that reads the source until this node reads it itself
     duration m_reader_timeout{std::chrono::milliseconds{1600}};
-    /// age of this node's items beyond which it reads the source itself
+    /// time since this node's items were current beyond which it reads the source itself
     duration m_usable_age{std::chrono::milliseconds{3300}};
     /// min. time for which a follower reads the source itself
     duration m_own_read_time{std::chrono::seconds{4}};
 
-    /// shortens the periods so that they fit into the time for which keys count as fresh after a confirmation
-    [[nodiscard]] static follower_settings for_freshness(duration key_freshness);
+    /*!
+    @brief shortens the periods so that keys stay fresh and changes are used in time
+
+    @param[in] key_freshness  time for which keys count as fresh after a confirmation
+    @param[in] change_bound   longest time from a change until each node uses it
+    */
+    [[nodiscard]] static follower_settings for_bounds(duration key_freshness, duration change_bound);
 
     friend bool operator==(const follower_settings&, const follower_settings&) = default;
 };
@@ -88,8 +94,8 @@
     /// records whether the source could be reached
     void on_source(bool is_reachable, time_point now);
 
-    /// records a time at which this node's items were confirmed as current
-    void on_confirmation(time_point confirmed_at);
+    /// records up to when this node's items are complete
+    void on_confirmation(const confirmation_times& times);
 
     /// whether this node must read the source itself
     [[nodiscard]] bool reads_source(time_point now) const;
@@ -146,7 +152,7 @@
     std::vector<endpoint> m_local; ///< other nodes of this data centre, ordered by rank
     std::vector<endpoint> m_others;
     bool m_source_is_reachable{true};
-    time_point m_confirmed_at{};
+    confirmation_times m_confirmation;
     time_point m_reads_until{};
     std::uint64_t m_call{0};
     endpoint m_asked_peer;
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-follower_settings follower_settings::for_freshness(duration key_freshness)
+follower_settings follower_settings::for_bounds(duration key_freshness, duration change_bound)
 {
     constexpr duration::rep requests_per_period = 8;
     constexpr double reader_timeout_fraction = 0.35;
@@ -35,8 +35,12 @@
     result.m_reader_timeout =
         std::min(result.m_reader_timeout,
                  std::chrono::duration_cast<duration>(key_freshness * reader_timeout_fraction));
+    // half of a bound that is too short for a lost call
+    const duration latest_start =
+        std::max(change_bound - source_call_schedule::catch_up_time(), change_bound / 2);
     result.m_usable_age =
-        std::min(result.m_usable_age, std::chrono::duration_cast<duration>(key_freshness * usable_fraction));
+        std::min({result.m_usable_age, std::chrono::duration_cast<duration>(key_freshness * usable_fraction),
+                  latest_start});
     return result;
 }
 
@@ -68,9 +72,10 @@
     m_source_is_reachable = is_reachable;
 }
 
-void publication_follower::on_confirmation(time_point confirmed_at)
+void publication_follower::on_confirmation(const confirmation_times& times)
 {
-    m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+    m_confirmation.m_confirmed_at = std::max(m_confirmation.m_confirmed_at, times.m_confirmed_at);
+    m_confirmation.m_current_at = std::max(m_confirmation.m_current_at, times.m_current_at);
 }
 
 bool publication_follower::is_designated() const
@@ -140,7 +145,7 @@
 
 bool publication_follower::needs_source(time_point now) const
 {
-    return now - m_confirmed_at > m_settings.m_usable_age ||
+    return now - m_confirmation.m_current_at > m_settings.m_usable_age ||
            now - m_reader_seen_at > m_settings.m_reader_timeout;
 }
 
@@ -149,7 +154,7 @@
     // a reader whose source has become silent notices it later than its followers; one without a confirmation
     // has just started to read
     return reply.m_is_reader &&
-           reply.m_confirmation_age.value_or(std::chrono::milliseconds{0}) <= m_settings.m_usable_age;
+           reply.m_currency_age.value_or(std::chrono::milliseconds{0}) <= m_settings.m_usable_age;
 }
 
 void publication_follower::on_request_failed(time_point now)
@@ -195,9 +200,10 @@
     reply.m_is_full = delta.m_is_full;
     reply.m_items = std::move(delta.m_items);
     reply.m_is_reader = m_source_is_reachable && reads_source(now);
-    if (m_confirmed_at != time_point{})
+    if (m_confirmation.m_confirmed_at != time_point{})
     {
-        reply.m_confirmation_age = std::chrono::ceil<milliseconds>(now - m_confirmed_at);
+        reply.m_confirmation_age = std::chrono::ceil<milliseconds>(now - m_confirmation.m_confirmed_at);
+        reply.m_currency_age = std::chrono::ceil<milliseconds>(now - m_confirmation.m_current_at);
     }
     reply.m_expiry_grace = std::chrono::ceil<milliseconds>(expiry_grace);
     return {sender, std::move(reply)};
@@ -234,9 +240,10 @@
     const bool is_complete = known.as_of() >= reply.m_as_of && reply.m_as_of > 0;
     if (reply.m_confirmation_age && is_complete)
     {
-        // the age is counted from the sending of the request, since the delay of the reply isn't known
+        // ages are counted from the sending of the request, since the delay of the reply isn't known
         const time_point confirmed_at = m_requested_at - *reply.m_confirmation_age;
-        on_confirmation(confirmed_at);
+        on_confirmation(
+            {confirmed_at, m_requested_at - reply.m_currency_age.value_or(*reply.m_confirmation_age)});
         updates.m_confirmed_at = confirmed_at;
     }
     return updates;
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -9,6 +9,7 @@
 
 #include "teasellead/fleet/messages.hpp"
 #include "teasellead/fleet/quota_ledger.hpp"
+#include "teasellead/fleet/source_call_schedule.hpp"
 #include "teasellead/forwarding/attempt_budget.hpp"
 #include "teasellead/forwarding/route.hpp"
 #include "teasellead/forwarding/upstream_directory.hpp"
@@ -33,7 +34,9 @@
     std::vector<endpoint> m_seeds; ///< addresses of nodes that are contacted to join the fleet
     duration
         m_max_configuration_age{}; ///< time without a confirmed configuration after which keys are refused
-    duration m_grace_period{};     ///< time from the stop signal after which the process may be killed
+    /// longest time from the publication of a configuration until this node must use it
+    duration m_change_bound{std::chrono::seconds{3}};
+    duration m_grace_period{}; ///< time from the stop signal after which the process may be killed
     duration m_report_period{std::chrono::milliseconds{1200}}; ///< how often upstreams renew their entries
     forwarding::attempt_budget_settings m_attempt_budget;
     account_bound m_account_bound;
@@ -98,22 +101,22 @@
     /*!
     @brief called with a complete listing of the published items
 
-    @param[in] items         all items
-    @param[in] as_of         revision of the listing; later changes are passed to @ref on_changes
-    @param[in] requested_at  when the request for the listing was sent
+    @param[in] items  all items
+    @param[in] as_of  revision of the listing; later changes are passed to @ref on_changes
+    @param[in] times  up to when the listing is complete
     */
     virtual void on_listing(const std::vector<published_item>& items, std::uint64_t as_of,
-                            time_point requested_at) = 0;
+                            const confirmation_times& times) = 0;
 
     /*!
     @brief called with the changes since the previous call, which may be none
 
-    @param[in] items         changed and removed items
-    @param[in] as_of         revision up to which all changes have been passed
-    @param[in] requested_at  when the request for the changes was sent
+    @param[in] items  changed and removed items
+    @param[in] as_of  revision up to which all changes have been passed
+    @param[in] times  up to when all changes have been passed
     */
     virtual void on_changes(const std::vector<published_item>& items, std::uint64_t as_of,
-                            time_point requested_at) = 0;
+                            const confirmation_times& times) = 0;
 
     /// called when the source becomes reachable or unreachable
     virtual void on_source_status(bool is_reachable, const std::string& reason) = 0;
--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -45,7 +45,9 @@
                                      std::function<void(received_declarations)> on_declarations)
     : m_platform(platform), m_clock(clock), m_configuration_lease(lease), m_directory(directory), m_log(log),
       m_on_declarations(std::move(on_declarations)),
-      m_follower(self, follower_settings::for_freshness(platform.settings().m_max_configuration_age),
+      m_follower(self,
+                 follower_settings::for_bounds(platform.settings().m_max_configuration_age,
+                                               platform.settings().m_change_bound),
                  std::hash<endpoint>{}(self)),
       m_source(platform.make_source(loop, clock, *this))
 {
@@ -125,24 +127,25 @@
         extend_expiry_grace(m_clock.now() + updates->m_expiry_grace);
     }
     apply_all(updates->m_items, "peer");
-    if (updates->m_confirmed_at)
+    // the follower itself has recorded the confirmation already
+    if (updates->m_confirmed_at && !m_has_invalid_item)
     {
-        confirm(*updates->m_confirmed_at);
+        m_configuration_lease.renew(*updates->m_confirmed_at);
     }
 }
 
 void publication_agent::on_listing(const std::vector<published_item>& items, std::uint64_t as_of,
-                                   time_point requested_at)
+                                   const confirmation_times& times)
 {
     apply_all(m_items.on_listing(items, as_of), "source");
-    confirm(requested_at);
+    confirm(times);
 }
 
 void publication_agent::on_changes(const std::vector<published_item>& items, std::uint64_t as_of,
-                                   time_point requested_at)
+                                   const confirmation_times& times)
 {
     apply_all(m_items.on_changes(items, as_of), "source");
-    confirm(requested_at);
+    confirm(times);
 }
 
 void publication_agent::on_source_status(bool is_reachable, const std::string& reason)
@@ -164,14 +167,14 @@
     return m_configuration_lease.age(m_clock.now()) >= shortest_outage;
 }
 
-void publication_agent::confirm(time_point confirmed_at)
+void publication_agent::confirm(const confirmation_times& times)
 {
     if (m_has_invalid_item)
     {
         return;
     }
-    m_configuration_lease.renew(confirmed_at);
-    m_follower.on_confirmation(confirmed_at);
+    m_configuration_lease.renew(times.m_confirmed_at);
+    m_follower.on_confirmation(times);
 }
 
 void publication_agent::extend_expiry_grace(time_point until)
--- a/packages/runtime/src/publication_agent.hpp
+++ b/packages/runtime/src/publication_agent.hpp
@@ -65,15 +65,15 @@
     void on_reply(const endpoint& sender, const publication_reply& reply);
 
     void on_listing(const std::vector<published_item>& items, std::uint64_t as_of,
-                    time_point requested_at) override;
+                    const confirmation_times& times) override;
     void on_changes(const std::vector<published_item>& items, std::uint64_t as_of,
-                    time_point requested_at) override;
+                    const confirmation_times& times) override;
     void on_source_status(bool is_reachable, const std::string& reason) override;
 
   private:
+    void confirm(const confirmation_times& times);
     void apply_all(const std::vector<published_item>& items, std::string_view origin);
     void apply(const published_item& item, std::string_view origin);
-    void confirm(time_point confirmed_at);
     /// whether entries may have expired because the source was unreachable until now
     [[nodiscard]] bool may_have_expired_entries() const;
     void extend_expiry_grace(time_point until);
--- a/tests/support/forwarding/simulated_source.hpp
+++ b/tests/support/forwarding/simulated_source.hpp
@@ -113,9 +113,11 @@
         const std::uint64_t as_of = m_store.revision();
         if (m_known_to == 0 || !changes)
         {
-            answer([this, items = m_store.listing(), as_of, requested_at]
-                   { m_sink.on_listing(items, as_of, requested_at); },
-                   as_of);
+            answer(
+                [this, items = m_store.listing(), as_of, requested_at] {
+                    m_sink.on_listing(items, as_of, {requested_at, requested_at});
+                },
+                as_of);
             return;
         }
         if (changes->empty() && m_queue.now() < requested_at + watch_time)
@@ -123,9 +125,13 @@
             later(watch_step, [this, requested_at] { at_store(requested_at); });
             return;
         }
-        answer([this, items = *changes, as_of, requested_at]
-               { m_sink.on_changes(items, as_of, requested_at); },
-               as_of);
+        answer(
+            [this, items = *changes, as_of, requested_at]
+            {
+                const time_point current_at = items.empty() ? requested_at + watch_time : requested_at;
+                m_sink.on_changes(items, as_of, {requested_at, current_at});
+            },
+            as_of);
     }
 
     void answer(const std::function<void()>& deliver, std::uint64_t as_of)
--- a/tests/support/publication_fleet.hpp
+++ b/tests/support/publication_fleet.hpp
@@ -183,6 +183,8 @@
     }
 
   private:
+    using milliseconds = std::chrono::milliseconds;
+
     struct node
     {
         node(const endpoint& self, const publication_fleet_settings& settings, std::uint64_t seed)
@@ -200,19 +202,13 @@
         bool m_loses_next_call{false};
         bool m_is_reading{false};
         std::uint64_t m_call{0}; ///< number of the current call to the source
-        duration m_pause{};
+        // times as on the users' platform
+        source_call_schedule m_schedule{milliseconds{1200}, milliseconds{1000}};
+        milliseconds m_wait{}; ///< how long the source holds the current call
         std::size_t m_sent_bytes{0};
     };
 
-    using milliseconds = std::chrono::milliseconds;
-
-    // as in the reader of the users' platform
     static constexpr milliseconds tick_period{100};
-    static constexpr milliseconds watch_time{1200};
-    static constexpr milliseconds response_timeout{1000};
-    static constexpr milliseconds retry_delay{300};
-    static constexpr milliseconds min_pause{60};
-    static constexpr milliseconds max_pause{480};
     static constexpr milliseconds network_delay{1};
     static constexpr milliseconds source_delay{4};
     static constexpr std::size_t call_bytes = 300;
@@ -249,6 +245,7 @@
         if (reads && !self.m_is_reading)
         {
             self.m_is_reading = true;
+            self.m_schedule.on_start(self.m_log.as_of() > 0);
             call_source(index);
         }
         else if (!reads && self.m_is_reading)
@@ -265,6 +262,7 @@
         const std::uint64_t call = ++self.m_call;
         ++m_calls;
         const time_point sent_at = now();
+        self.m_wait = self.m_schedule.watch_wait(sent_at);
         if (self.m_source_fault == source_fault::refused)
         {
             fail_call(index);
@@ -289,7 +287,7 @@
             return;
         }
         const std::uint64_t known = self.m_log.as_of();
-        if (known == m_revision && now() - held_since < watch_time)
+        if (known == m_revision && now() - held_since < self.m_wait)
         {
             m_events.after(source_delay, [this, index, call, sent_at, held_since]
                            { hold_call(index, call, sent_at, held_since); });
@@ -330,16 +328,15 @@
         {
             self.m_log.on_changes(items, as_of);
         }
-        self.m_follower.on_confirmation(sent_at);
-        self.m_pause =
-            items.empty() ? duration::zero() : std::clamp<duration>(2 * self.m_pause, min_pause, max_pause);
-        call_source_after(index, self.m_pause);
+        self.m_follower.on_confirmation(
+            self.m_schedule.on_watch_response(sent_at, self.m_wait, !items.empty(), now()));
+        call_source_after(index, self.m_schedule.pause());
     }
 
     /// time without an answer after which a call has failed
-    [[nodiscard]] static duration call_timeout(const node& /*self*/)
+    [[nodiscard]] static duration call_timeout(const node& self)
     {
-        return watch_time + response_timeout;
+        return self.m_schedule.time_limit(self.m_wait);
     }
 
     void fail_call_if_current(std::size_t index, std::uint64_t call)
@@ -353,7 +350,7 @@
     void fail_call(std::size_t index)
     {
         m_nodes[index]->m_follower.on_source(false, now());
-        call_source_after(index, retry_delay + milliseconds{m_random.below(retry_delay.count())});
+        call_source_after(index, m_nodes[index]->m_schedule.on_failure(m_random));
     }
 
     void call_source_after(std::size_t index, duration pause)
--- a/tests/unit/configuration-time/unit-configuration-time.cpp
+++ b/tests/unit/configuration-time/unit-configuration-time.cpp
@@ -71,7 +71,7 @@
         settings.m_text_bytes = 8'000;
         settings.m_entries = 50;
         settings.m_bytes_per_second = 125'000'000;
-        settings.m_follower = follower_settings::for_freshness(key_freshness);
+        settings.m_follower = follower_settings::for_bounds(key_freshness, each.m_bound);
         publication_fleet fleet{settings, seed};
         random_source random{seed};
         const auto up_to_ms = [&random](std::uint64_t most)
--- a/tests/unit/fleet/unit-publication.cpp
+++ b/tests/unit/fleet/unit-publication.cpp
@@ -220,7 +220,7 @@
         }
         self.m_follower.on_source(true, m_now);
         self.m_log.on_listing({m_published}, m_revision);
-        self.m_follower.on_confirmation(m_now);
+        self.m_follower.on_confirmation({m_now, m_now});
         self.m_proved_at = m_now;
     }
 
@@ -237,7 +237,7 @@
         if (has_change || m_now - self.m_watch_began >= watch_time)
         {
             self.m_log.on_changes({m_published}, m_revision);
-            self.m_follower.on_confirmation(self.m_watch_began);
+            self.m_follower.on_confirmation({self.m_watch_began, has_change ? self.m_watch_began : m_now});
             self.m_proved_at = std::max(self.m_proved_at, self.m_watch_began);
             self.m_is_watching = false;
         }
@@ -492,9 +492,10 @@
                               true,
                               {item_of("a", std::string("\0\xff", 2), 7), {"b", std::nullopt, 8}},
                               120ms,
+                              20ms,
                               5ms,
                               true},
-            publication_reply{3, 9, false, {}, std::nullopt, 0ms},
+            publication_reply{3, 9, false, {}, std::nullopt, std::nullopt, 0ms},
             token_request{1, "school", 4},
             token_grant{1, "school", 0, 250ms},
             token_grant{1, "school", 0, 250ms, address_of(2)},
--- a/tests/unit/platform/unit-decode.cpp
+++ b/tests/unit/platform/unit-decode.cpp
@@ -34,7 +34,7 @@
 const std::string valid_settings = R"({"nodeName":"front-q1-1","zone":"q1","region":"hcm",
   "bindAddresses":{"front":"10.1.0.17:8363","readiness":"10.1.0.17:8364","control":"10.1.0.17:8360"},
   "internalPorts":[7740,7755],"seeds":["10.1.0.17:8360","10.2.0.28:8360"],"later":[1,2],
-  "bounds":{"strictRevocation":true,"revokeTimeoutMs":5000,"retryBudgetRatio":0.2,"retryWindowS":10,
+  "bounds":{"strictRevocation":true,"revokeTimeoutMs":5000,"configApplyMs":4000,"retryBudgetRatio":0.2,"retryWindowS":10,
     "retryBudgetSlack":56,"quotaWindowS":5,"quotaOverage":0.25,"quotaSlack":20,"gracePeriodS":6},
   "platform":{"address":"10.200.1.7:8361","form":"read"}})";
 
@@ -191,14 +191,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.m_seeds.size());
         CPPUNIT_ASSERT((read.m_attempt_budget == forwarding::attempt_budget_settings{0.2, 56.0, 10s}));
         CPPUNIT_ASSERT((read.m_account_bound == account_bound{5s, 0.25, 20.0}));
-        CPPUNIT_ASSERT(
-            (decode_store(valid_settings) == store_settings{endpoint::parse("10.200.1.7:8361"), 1200ms}));
+        CPPUNIT_ASSERT((decode_store(valid_settings) ==
+                        store_settings{endpoint::parse("10.200.1.7:8361"), 1200ms, 1000ms}));
+        CPPUNIT_ASSERT((read.m_change_bound == 4s));
         CPPUNIT_ASSERT((read.m_max_configuration_age == 4700ms));
         // a revocation bound that is too short for the default time of a long poll
         const std::string strict =
             replaced(valid_settings, "\"revokeTimeoutMs\":5000", "\"revokeTimeoutMs\":3000");
         CPPUNIT_ASSERT((decode_settings(strict).m_max_configuration_age == 1700ms));
         CPPUNIT_ASSERT((decode_store(strict).m_watch_time == 425ms));
+        CPPUNIT_ASSERT((decode_store(strict).m_silent_time == 0ms));
     }
 
     void bad_settings_are_refused()
--- a/tests/unit/relay-link/unit-relay-link.cpp
+++ b/tests/unit/relay-link/unit-relay-link.cpp
@@ -73,7 +73,7 @@
         settings.m_nodes = 31;
         // what requests leave of a link of 20 Mbit/s
         settings.m_bytes_per_second = 1'000'000;
-        settings.m_follower = follower_settings::for_freshness(key_freshness);
+        settings.m_follower = follower_settings::for_bounds(key_freshness, bound);
         return settings;
     }
 };
