--- a/packages/fleet/include/teasellead/fleet/messages.hpp
+++ b/packages/fleet/include/teasellead/fleet/messages.hpp
@@ -282,7 +282,8 @@
     std::uint64_t m_call{0};
     /// revision up to which the sender has every change; 0 before its first listing
     std::uint64_t m_as_of{0};
-    bool m_is_full{false}; ///< whether the reply lists every published item, not only the changes
+    /// whether the reply lists every published item, with its value or as unchanged, not only the changes
+    bool m_is_full{false};
     std::vector<published_item> m_items;
     /// time since the items were last confirmed as current
     std::optional<std::chrono::milliseconds> m_confirmation_age;
@@ -291,6 +292,8 @@
     /// remaining time in which a missing entry may only have expired at the source and isn't taken as removed
     std::chrono::milliseconds m_expiry_grace{0};
     bool m_is_reader{false}; ///< whether the sender reads the source and could reach it
+    /// keys of the items that the receiver has in their current revision, if every published item is listed
+    std::vector<std::string> m_unchanged;
 
     friend bool operator==(const publication_reply&, const publication_reply&) = default;
 };
--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <variant>
 #include <vector>
 
 #include "teasellead/fleet/messages.hpp"
 #include "teasellead/fleet/publication_log.hpp"
+#include "teasellead/fleet/relay_budget.hpp"
 #include "teasellead/fleet/source_call_schedule.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/random.hpp"
@@ -27,6 +29,9 @@
     /// min. time for which a follower reads the source itself
     duration m_own_read_time{std::chrono::seconds{4}};
 
+    /// limit of the mean rate at which items are sent to peers; 0 for no limit
+    double m_relay_bytes_per_second{0.0};
+
     /*!
     @brief shortens the periods so that keys stay fresh and changes are used in time
 
@@ -38,13 +43,17 @@
     friend bool operator==(const follower_settings&, const follower_settings&) = default;
 };
 
-/// how the requests of a node to its peers ended
+/// how the requests of a node to its peers ended, and what it sent to them
 struct follower_counts
 {
-    std::uint64_t m_from_readers{0}; ///< answered by a peer that reads the source
-    std::uint64_t m_from_others{0};  ///< answered by another peer
-    std::uint64_t m_unanswered{0};   ///< without an answer in time
-    std::uint64_t m_late{0};         ///< answers that came after that time
+    std::uint64_t m_from_readers{0};  ///< answered by a peer that reads the source
+    std::uint64_t m_from_others{0};   ///< answered by another peer
+    std::uint64_t m_unanswered{0};    ///< without an answer in time
+    std::uint64_t m_late{0};          ///< answers that came after that time
+    std::uint64_t m_deferred{0};      ///< requests of peers that got no items because of the limit
+    std::uint64_t m_full_replies{0};  ///< sent replies that list all items
+    std::uint64_t m_relayed_bytes{0}; ///< bytes of the items in all sent replies
+    std::uint64_t m_largest_reply{0}; ///< bytes of the items in the largest sent reply
 
     friend bool operator==(const follower_counts&, const follower_counts&) = default;
 };
@@ -76,7 +85,7 @@
 {
   public:
     publication_follower(endpoint self, follower_settings settings, std::uint64_t seed)
-        : m_self(self), m_settings(settings), m_random(seed)
+        : m_self(self), m_settings(settings), m_random(seed), m_relay(settings.m_relay_bytes_per_second)
     {
     }
 
@@ -111,6 +120,9 @@
     /*!
     @brief replies to a peer's request
 
+    Without items if the rate of sent items is used up. The peer then isn't confirmed and asks again, or reads
+    the source itself before its changes are due.
+
     @param[in] sender        the peer
     @param[in] request       its request
     @param[in] known         items of this node
@@ -119,7 +131,7 @@
     */
     [[nodiscard]] outgoing_message answer(const endpoint& sender, const publication_request& request,
                                           const publication_log& known, duration expiry_grace,
-                                          time_point now) const;
+                                          time_point now);
 
     /*!
     @brief applies a peer's reply
@@ -128,7 +140,7 @@
     @param[in]     reply   its reply
     @param[in,out] known   items of this node
 
-    @return the updates; empty if the reply is late or doesn't match the pending request
+    @return the updates; empty if the reply doesn't match a recent request
     */
     [[nodiscard]] std::optional<peer_updates> on_reply(const endpoint& sender, const publication_reply& reply,
                                                        publication_log& known);
@@ -139,6 +151,18 @@
     }
 
   private:
+    /// a request to a peer
+    struct call
+    {
+        std::uint64_t m_number{0};
+        endpoint m_peer;
+        time_point m_requested_at{};
+    };
+
+    /// removes and returns a recent request
+    [[nodiscard]] std::optional<call> take_call(const endpoint& peer, std::uint64_t number);
+    void on_timely_reply(bool is_from_reader, time_point requested_at);
+    void on_late_reply(const call& answered, bool is_from_reader);
     [[nodiscard]] bool is_designated() const;
     [[nodiscard]] std::optional<endpoint> choose_peer(time_point now);
     [[nodiscard]] bool needs_source(time_point now) const;
@@ -155,9 +179,10 @@
     confirmation_times m_confirmation;
     time_point m_reads_until{};
     std::uint64_t m_call{0};
-    endpoint m_asked_peer;
     time_point m_requested_at{};
     bool m_is_waiting{false};
+    std::deque<call> m_recent_calls; ///< the current one and earlier ones without a reply
+    relay_budget m_relay;
     std::size_t m_rank{0};              ///< rank of the node that receives the requests
     std::size_t m_first_usable_rank{0}; ///< nodes with lower ranks were found to be unresponsive or outdated
     std::size_t m_failures{0};          ///< consecutive requests to that node that failed
--- a/packages/fleet/include/teasellead/fleet/publication_log.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_log.hpp
@@ -16,8 +16,12 @@
 struct publication_delta
 {
     std::vector<published_item> m_items;
-    std::uint64_t m_as_of{0}; ///< revision up to which the items are complete
-    bool m_is_full{false};    ///< whether every published item is listed, not only the changes
+    std::vector<std::string> m_unchanged; ///< keys of the other items; only if every published item is listed
+    std::uint64_t m_as_of{0};             ///< revision up to which the items are complete
+    bool m_is_full{false};                ///< whether every published item is listed, not only the changes
+
+    /// size of the keys and values
+    [[nodiscard]] std::size_t bytes() const noexcept;
 
     friend bool operator==(const publication_delta&, const publication_delta&) = default;
 };
@@ -33,12 +37,20 @@
     /*!
     @brief applies a listing of all published items
 
-    @param[in] items  the items
-    @param[in] as_of  revision of the listing; all later changes will be received
+    @param[in] items      the items
+    @param[in] unchanged  keys of further items that this copy has in their current revision
+    @param[in] as_of      revision of the listing; all later changes will be received
 
     @return the changes, including removals; empty if the listing is older than this copy
     */
-    std::vector<published_item> on_listing(const std::vector<published_item>& items, std::uint64_t as_of);
+    std::vector<published_item> on_listing(const std::vector<published_item>& items,
+                                           const std::vector<std::string>& unchanged, std::uint64_t as_of);
+
+    /// applies a listing of all published items with their values
+    std::vector<published_item> on_listing(const std::vector<published_item>& items, std::uint64_t as_of)
+    {
+        return on_listing(items, {}, as_of);
+    }
 
     /*!
     @brief applies changes in the order of their revisions
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -16,6 +16,7 @@
 // arbitrary hash key that is the same on all nodes
 constexpr std::uint64_t order_key = 1;
 constexpr std::size_t max_failures = 2;
+constexpr std::size_t max_recent_calls = 8;
 
 std::uint64_t score_of(const endpoint& node)
 {
@@ -136,7 +137,11 @@
         return {};
     }
     ++m_call;
-    m_asked_peer = *peer;
+    m_recent_calls.push_back({m_call, *peer, now});
+    if (m_recent_calls.size() > max_recent_calls)
+    {
+        m_recent_calls.pop_front();
+    }
     m_requested_at = now;
     m_is_waiting = true;
     m_next_request = now + m_settings.m_poll_period;
@@ -191,59 +196,115 @@
 
 outgoing_message publication_follower::answer(const endpoint& sender, const publication_request& request,
                                               const publication_log& known, duration expiry_grace,
-                                              time_point now) const
+                                              time_point now)
 {
-    publication_delta delta = known.since(request.m_have);
     publication_reply reply;
     reply.m_call = request.m_call;
+    reply.m_is_reader = m_source_is_reachable && reads_source(now);
+    reply.m_expiry_grace = std::chrono::ceil<milliseconds>(expiry_grace);
+    if (request.m_have < known.as_of() && !m_relay.may_send(sender, request.m_have, now))
+    {
+        // confirms nothing, since the peer lacks items
+        ++m_counts.m_deferred;
+        reply.m_as_of = request.m_have;
+        return {sender, std::move(reply)};
+    }
+    publication_delta delta = known.since(request.m_have);
+    const std::size_t bytes = delta.bytes();
+    m_relay.on_sent(sender, request.m_have, bytes, now);
+    m_counts.m_full_replies += delta.m_is_full ? 1 : 0;
+    m_counts.m_relayed_bytes += bytes;
+    m_counts.m_largest_reply = std::max<std::uint64_t>(m_counts.m_largest_reply, bytes);
     reply.m_as_of = delta.m_as_of;
     reply.m_is_full = delta.m_is_full;
     reply.m_items = std::move(delta.m_items);
-    reply.m_is_reader = m_source_is_reachable && reads_source(now);
+    reply.m_unchanged = std::move(delta.m_unchanged);
     if (m_confirmation.m_confirmed_at != time_point{})
     {
         reply.m_confirmation_age = std::chrono::ceil<milliseconds>(now - m_confirmation.m_confirmed_at);
         reply.m_currency_age = std::chrono::ceil<milliseconds>(now - m_confirmation.m_current_at);
     }
-    reply.m_expiry_grace = std::chrono::ceil<milliseconds>(expiry_grace);
     return {sender, std::move(reply)};
 }
 
-std::optional<peer_updates>
-publication_follower::on_reply(const endpoint& sender, const publication_reply& reply, publication_log& known)
+std::optional<publication_follower::call> publication_follower::take_call(const endpoint& peer,
+                                                                          std::uint64_t number)
 {
-    if (!m_is_waiting || reply.m_call != m_call || sender != m_asked_peer)
+    const auto found =
+        std::find_if(m_recent_calls.begin(), m_recent_calls.end(),
+                     [&](const call& each) { return each.m_number == number && each.m_peer == peer; });
+    if (found == m_recent_calls.end())
     {
-        ++m_counts.m_late;
         return std::nullopt;
     }
+    const call result = *found;
+    m_recent_calls.erase(found);
+    return result;
+}
+
+void publication_follower::on_timely_reply(bool is_from_reader, time_point requested_at)
+{
     m_is_waiting = false;
-    if (is_from_reader(reply))
+    if (is_from_reader)
     {
         ++m_counts.m_from_readers;
-        m_reader_seen_at = m_requested_at;
+        m_reader_seen_at = requested_at;
         m_failures = 0;
         m_first_usable_rank = m_rank;
     }
     else
     {
         ++m_counts.m_from_others;
-        on_request_failed(m_requested_at);
+        on_request_failed(requested_at);
+    }
+}
+
+void publication_follower::on_late_reply(const call& answered, bool is_from_reader)
+{
+    ++m_counts.m_late;
+    const auto peer = std::find(m_local.begin(), m_local.end(), answered.m_peer);
+    if (!is_from_reader || peer == m_local.end())
+    {
+        return;
+    }
+    // slow, but it has what the next ones lack
+    m_reader_seen_at = std::max(m_reader_seen_at, answered.m_requested_at);
+    m_rank = static_cast<std::size_t>(peer - m_local.begin());
+    m_first_usable_rank = m_rank;
+    m_failures = 0;
+}
+
+std::optional<peer_updates>
+publication_follower::on_reply(const endpoint& sender, const publication_reply& reply, publication_log& known)
+{
+    const std::optional<call> answered = take_call(sender, reply.m_call);
+    if (!answered)
+    {
+        return std::nullopt;
+    }
+    const time_point requested_at = answered->m_requested_at;
+    if (m_is_waiting && reply.m_call == m_call)
+    {
+        on_timely_reply(is_from_reader(reply), requested_at);
+    }
+    else
+    {
+        on_late_reply(*answered, is_from_reader(reply));
     }
     peer_updates updates;
     updates.m_expiry_grace = reply.m_expiry_grace;
     if (reply.m_as_of > 0)
     {
-        updates.m_items = reply.m_is_full ? known.on_listing(reply.m_items, reply.m_as_of)
+        updates.m_items = reply.m_is_full ? known.on_listing(reply.m_items, reply.m_unchanged, reply.m_as_of)
                                           : known.on_changes(reply.m_items, reply.m_as_of);
     }
     const bool is_complete = known.as_of() >= reply.m_as_of && reply.m_as_of > 0;
     if (reply.m_confirmation_age && is_complete)
     {
         // ages are counted from the sending of the request, since the delay of the reply isn't known
-        const time_point confirmed_at = m_requested_at - *reply.m_confirmation_age;
+        const time_point confirmed_at = requested_at - *reply.m_confirmation_age;
         on_confirmation(
-            {confirmed_at, m_requested_at - reply.m_currency_age.value_or(*reply.m_confirmation_age)});
+            {confirmed_at, requested_at - reply.m_currency_age.value_or(*reply.m_confirmation_age)});
         updates.m_confirmed_at = confirmed_at;
     }
     return updates;
--- a/packages/fleet/src/publication_log.cpp
+++ b/packages/fleet/src/publication_log.cpp
@@ -13,6 +13,20 @@
 
 } // namespace
 
+std::size_t publication_delta::bytes() const noexcept
+{
+    std::size_t result = 0;
+    for (const published_item& item : m_items)
+    {
+        result += item.m_key.size() + (item.m_value ? item.m_value->size() : 0);
+    }
+    for (const std::string& key : m_unchanged)
+    {
+        result += key.size();
+    }
+    return result;
+}
+
 bool publication_log::apply(const published_item& item)
 {
     const auto known = m_items.find(item.m_key);
@@ -52,6 +66,7 @@
 }
 
 std::vector<published_item> publication_log::on_listing(const std::vector<published_item>& items,
+                                                        const std::vector<std::string>& unchanged,
                                                         std::uint64_t as_of)
 {
     std::vector<published_item> changes;
@@ -59,7 +74,7 @@
     {
         return changes;
     }
-    std::set<std::string> listed;
+    std::set<std::string> listed{unchanged.begin(), unchanged.end()};
     for (const published_item& item : items)
     {
         listed.insert(item.m_key);
@@ -119,7 +134,14 @@
     {
         for (const auto& [key, item] : m_items)
         {
-            delta.m_items.push_back(item);
+            if (item.m_revision > have)
+            {
+                delta.m_items.push_back(item);
+            }
+            else
+            {
+                delta.m_unchanged.push_back(key);
+            }
         }
         return delta;
     }
--- a/packages/fleet/src/put_content.cpp
+++ b/packages/fleet/src/put_content.cpp
@@ -229,6 +229,7 @@
     }
     target.set_lapse_left_ms(to_wire(content.m_expiry_grace));
     target.set_reader(content.m_is_reader);
+    target.mutable_unchanged()->Assign(content.m_unchanged.begin(), content.m_unchanged.end());
     for (const published_item& item : content.m_items)
     {
         wire::PublishedItem& added = *target.add_items();
--- a/packages/fleet/src/take_content.cpp
+++ b/packages/fleet/src/take_content.cpp
@@ -147,6 +147,7 @@
     result.m_is_full = source.full();
     result.m_expiry_grace = std::chrono::milliseconds{source.lapse_left_ms()};
     result.m_is_reader = source.reader();
+    result.m_unchanged.assign(source.unchanged().begin(), source.unchanged().end());
     if (source.proved())
     {
         result.m_confirmation_age = std::chrono::milliseconds{source.proof_age_ms()};
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -36,6 +36,7 @@
         m_max_configuration_age{}; ///< time without a confirmed configuration after which keys are refused
     /// longest time from the publication of a configuration until this node must use it
     duration m_change_bound{std::chrono::seconds{3}};
+    double m_link_bytes_per_second{125'000'000.0}; ///< rate of this node's link in one direction
     duration m_grace_period{}; ///< time from the stop signal after which the process may be killed
     duration m_report_period{std::chrono::milliseconds{1200}}; ///< how often upstreams renew their entries
     forwarding::attempt_budget_settings m_attempt_budget;
--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -17,14 +17,15 @@
 // entries that expired while the source was unreachable are published again within this time of its return
 constexpr milliseconds expiry_grace{2200};
 
-std::uint64_t size_of(const std::vector<published_item>& items)
-{
-    std::uint64_t bytes = 0;
-    for (const published_item& item : items)
-    {
-        bytes += item.m_key.size() + (item.m_value ? item.m_value->size() : 0);
-    }
-    return bytes;
+/// periods of a node's requests to its peers, and the limit of its replies
+follower_settings follower_settings_of(const forwarding_settings& settings)
+{
+    // portion of the link that relayed items may use
+    constexpr double relay_portion = 0.25;
+    follower_settings result =
+        follower_settings::for_bounds(settings.m_max_configuration_age, settings.m_change_bound);
+    result.m_relay_bytes_per_second = settings.m_link_bytes_per_second * relay_portion;
+    return result;
 }
 
 std::string state_of(const forwarding::directory_item& item)
@@ -45,10 +46,7 @@
                                      std::function<void(received_declarations)> on_declarations)
     : m_platform(platform), m_clock(clock), m_configuration_lease(lease), m_directory(directory), m_log(log),
       m_on_declarations(std::move(on_declarations)),
-      m_follower(self,
-                 follower_settings::for_bounds(platform.settings().m_max_configuration_age,
-                                               platform.settings().m_change_bound),
-                 std::hash<endpoint>{}(self)),
+      m_follower(self, follower_settings_of(platform.settings()), std::hash<endpoint>{}(self)),
       m_source(platform.make_source(loop, clock, *this))
 {
 }
@@ -87,14 +85,8 @@
 outgoing_message publication_agent::on_request(const endpoint& sender, const publication_request& request)
 {
     const time_point now = m_clock.now();
-    outgoing_message result = m_follower.answer(sender, request, m_items,
-                                                std::max(duration::zero(), m_expiry_grace_end - now), now);
-    const auto& reply = std::get<publication_reply>(result.m_content);
-    m_full_replies += reply.m_is_full ? 1 : 0;
-    const std::uint64_t bytes = size_of(reply.m_items);
-    m_relayed_bytes += bytes;
-    m_relayed_at_most = std::max(m_relayed_at_most, bytes);
-    return result;
+    return m_follower.answer(sender, request, m_items, std::max(duration::zero(), m_expiry_grace_end - now),
+                             now);
 }
 
 std::string publication_agent::exposition() const
@@ -109,9 +101,10 @@
          << name << "unanswered\"} " << counts.m_unanswered << '\n'
          << name << "late\"} " << counts.m_late << '\n';
     return text.str() +
-           exposition_line("teasellead_publication_full_replies_total", "counter", m_full_replies) +
-           exposition_line("teasellead_publication_relayed_bytes_total", "counter", m_relayed_bytes) +
-           exposition_line("teasellead_publication_largest_reply_bytes", "gauge", m_relayed_at_most) +
+           exposition_line("teasellead_publication_full_replies_total", "counter", counts.m_full_replies) +
+           exposition_line("teasellead_publication_deferred_replies_total", "counter", counts.m_deferred) +
+           exposition_line("teasellead_publication_relayed_bytes_total", "counter", counts.m_relayed_bytes) +
+           exposition_line("teasellead_publication_largest_reply_bytes", "gauge", counts.m_largest_reply) +
            exposition_line("teasellead_source_calls_total", "counter", calls());
 }
 
--- a/packages/runtime/src/publication_agent.hpp
+++ b/packages/runtime/src/publication_agent.hpp
@@ -95,9 +95,6 @@
     bool m_has_expired_entries{false}; ///< whether the directory keeps removed entries
     bool m_has_invalid_item{false};    ///< whether an item was invalid since the latest valid configuration
     bool m_reads_source{false};
-    std::uint64_t m_full_replies{0};    ///< replies that listed all items
-    std::uint64_t m_relayed_bytes{0};   ///< bytes of the items in all replies
-    std::uint64_t m_relayed_at_most{0}; ///< bytes of the items in the largest reply
 };
 
 } // namespace teasellead::runtime
--- a/tests/unit/fleet/unit-publication.cpp
+++ b/tests/unit/fleet/unit-publication.cpp
@@ -353,7 +353,11 @@
             log.on_changes({item_of("b", std::to_string(revision), revision)}, revision);
         }
         CPPUNIT_ASSERT(log.since(10).m_is_full);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, log.since(10).m_items.size());
+        // the requesting node has the item that hasn't changed since its revision
+        CPPUNIT_ASSERT((log.since(10).m_items == std::vector{item_of("b", "2999", 2999)}));
+        CPPUNIT_ASSERT((log.since(10).m_unchanged == std::vector<std::string>{"a"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, log.since(0).m_items.size());
+        CPPUNIT_ASSERT(log.since(0).m_unchanged.empty());
         CPPUNIT_ASSERT(!log.since(2990).m_is_full);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.since(2990).m_items.size());
     }
@@ -494,8 +498,9 @@
                               120ms,
                               20ms,
                               5ms,
-                              true},
-            publication_reply{3, 9, false, {}, std::nullopt, std::nullopt, 0ms},
+                              true,
+                              {"c", "d"}},
+            publication_reply{3, 9, false, {}, std::nullopt, std::nullopt, 0ms, false, {}},
             token_request{1, "school", 4},
             token_grant{1, "school", 0, 250ms},
             token_grant{1, "school", 0, 250ms, address_of(2)},
--- a/tests/unit/relay-link/unit-relay-link.cpp
+++ b/tests/unit/relay-link/unit-relay-link.cpp
@@ -71,9 +71,10 @@
     {
         publication_fleet_settings settings;
         settings.m_nodes = 31;
-        // what requests leave of a link of 20 Mbit/s
+        // what requests leave of a link of 20 Mbit/s, a quarter of which relayed items may use
         settings.m_bytes_per_second = 1'000'000;
         settings.m_follower = follower_settings::for_bounds(key_freshness, bound);
+        settings.m_follower.m_relay_bytes_per_second = 625'000;
         return settings;
     }
 };
