--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -34,7 +34,7 @@
     std::vector<endpoint> m_seeds; ///< addresses of nodes that are contacted to join the fleet
     duration
         m_max_configuration_age{}; ///< time without a confirmed configuration after which keys are refused
-    /// longest time from the publication of a configuration until this node must use it
+    /// longest time from the publication of any item until this node must use it
     duration m_change_bound{std::chrono::seconds{3}};
     double m_link_bytes_per_second{125'000'000.0}; ///< rate of this node's link in one direction
     duration m_grace_period{}; ///< time from the stop signal after which the process may be killed
--- a/tests/unit/platform/unit-decode.cpp
+++ b/tests/unit/platform/unit-decode.cpp
@@ -194,6 +194,14 @@
         CPPUNIT_ASSERT((decode_store(valid_settings) ==
                         store_settings{endpoint::parse("10.200.1.7:8361"), 1200ms, 1000ms}));
         CPPUNIT_ASSERT((read.m_change_bound == 4s));
+        // leaving upstreams and evacuations reach a node in the same way as configurations
+        for (const std::string bound : {"drainTimeoutMs", "evacuationMs"})
+        {
+            const std::string shorter = replaced(valid_settings, "\"configApplyMs\":4000",
+                                                 "\"configApplyMs\":4000,\"" + bound + "\":2500");
+            CPPUNIT_ASSERT((decode_settings(shorter).m_change_bound == 2500ms));
+        }
+        CPPUNIT_ASSERT_EQUAL(125'000'000.0, read.m_link_bytes_per_second);
         CPPUNIT_ASSERT((read.m_max_configuration_age == 4700ms));
         // a revocation bound that is too short for the default time of a long poll
         const std::string strict =
