--- a/packages/fleet/include/teasellead/fleet/messages.hpp
+++ b/packages/fleet/include/teasellead/fleet/messages.hpp
@@ -287,8 +287,8 @@
     std::vector<published_item> m_items;
     /// time since the items were last confirmed as current
     std::optional<std::chrono::milliseconds> m_confirmation_age;
-    /// time since the items were current, if the source reports changes at once
-    std::optional<std::chrono::milliseconds> m_currency_age;
+    /// time since the items were known to be current, if the source reports changes at once
+    std::optional<std::chrono::milliseconds> m_staleness;
     /// remaining time in which a missing entry may only have expired at the source and isn't taken as removed
     std::chrono::milliseconds m_expiry_grace{0};
     bool m_is_reader{false}; ///< whether the sender reads the source and could reach it
--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -156,11 +156,14 @@
     {
         std::uint64_t m_number{0};
         endpoint m_peer;
+        std::uint64_t m_have{0}; ///< revision up to which this node had every change
         time_point m_requested_at{};
     };
 
     /// removes and returns a recent request
     [[nodiscard]] std::optional<call> take_call(const endpoint& peer, std::uint64_t number);
+    /// whether a reply is based on what this node had when it sent the request
+    [[nodiscard]] static bool is_usable(const publication_reply& reply, const call& answered) noexcept;
     void on_timely_reply(bool is_from_reader, time_point requested_at);
     void on_late_reply(const call& answered, bool is_from_reader);
     [[nodiscard]] bool is_designated() const;
@@ -178,7 +181,7 @@
     bool m_source_is_reachable{true};
     confirmation_times m_confirmation;
     time_point m_reads_until{};
-    std::uint64_t m_call{0};
+    std::uint64_t m_call{0}; ///< number of the latest request
     time_point m_requested_at{};
     bool m_is_waiting{false};
     std::deque<call> m_recent_calls; ///< the current one and earlier ones without a reply
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -137,7 +137,7 @@
         return {};
     }
     ++m_call;
-    m_recent_calls.push_back({m_call, *peer, now});
+    m_recent_calls.push_back({m_call, *peer, have, now});
     if (m_recent_calls.size() > max_recent_calls)
     {
         m_recent_calls.pop_front();
@@ -159,7 +159,7 @@
     // a reader whose source has become silent notices it later than its followers; one without a confirmation
     // has just started to read
     return reply.m_is_reader &&
-           reply.m_currency_age.value_or(std::chrono::milliseconds{0}) <= m_settings.m_usable_age;
+           reply.m_staleness.value_or(std::chrono::milliseconds{0}) <= m_settings.m_usable_age;
 }
 
 void publication_follower::on_request_failed(time_point now)
@@ -222,7 +222,7 @@
     if (m_confirmation.m_confirmed_at != time_point{})
     {
         reply.m_confirmation_age = std::chrono::ceil<milliseconds>(now - m_confirmation.m_confirmed_at);
-        reply.m_currency_age = std::chrono::ceil<milliseconds>(now - m_confirmation.m_current_at);
+        reply.m_staleness = std::chrono::ceil<milliseconds>(now - m_confirmation.m_current_at);
     }
     return {sender, std::move(reply)};
 }
@@ -242,6 +242,12 @@
     return result;
 }
 
+bool publication_follower::is_usable(const publication_reply& reply, const call& answered) noexcept
+{
+    // an earlier process at this address may have sent a request with the same number
+    return answered.m_have > 0 || (reply.m_is_full && reply.m_unchanged.empty());
+}
+
 void publication_follower::on_timely_reply(bool is_from_reader, time_point requested_at)
 {
     m_is_waiting = false;
@@ -293,7 +299,7 @@
     }
     peer_updates updates;
     updates.m_expiry_grace = reply.m_expiry_grace;
-    if (reply.m_as_of > 0)
+    if (reply.m_as_of > 0 && is_usable(reply, *answered))
     {
         updates.m_items = reply.m_is_full ? known.on_listing(reply.m_items, reply.m_unchanged, reply.m_as_of)
                                           : known.on_changes(reply.m_items, reply.m_as_of);
@@ -303,8 +309,7 @@
     {
         // ages are counted from the sending of the request, since the delay of the reply isn't known
         const time_point confirmed_at = requested_at - *reply.m_confirmation_age;
-        on_confirmation(
-            {confirmed_at, requested_at - reply.m_currency_age.value_or(*reply.m_confirmation_age)});
+        on_confirmation({confirmed_at, requested_at - reply.m_staleness.value_or(*reply.m_confirmation_age)});
         updates.m_confirmed_at = confirmed_at;
     }
     return updates;
--- a/packages/fleet/src/put_content.cpp
+++ b/packages/fleet/src/put_content.cpp
@@ -223,9 +223,9 @@
     target.set_full(content.m_is_full);
     target.set_proved(content.m_confirmation_age.has_value());
     target.set_proof_age_ms(to_wire(content.m_confirmation_age.value_or(std::chrono::milliseconds{0})));
-    if (content.m_currency_age)
+    if (content.m_staleness)
     {
-        target.set_currency_age_ms(to_wire(*content.m_currency_age));
+        target.set_staleness_ms(to_wire(*content.m_staleness));
     }
     target.set_lapse_left_ms(to_wire(content.m_expiry_grace));
     target.set_reader(content.m_is_reader);
--- a/packages/fleet/src/take_content.cpp
+++ b/packages/fleet/src/take_content.cpp
@@ -152,9 +152,9 @@
     {
         result.m_confirmation_age = std::chrono::milliseconds{source.proof_age_ms()};
     }
-    if (source.has_currency_age_ms())
+    if (source.has_staleness_ms())
     {
-        result.m_currency_age = std::chrono::milliseconds{source.currency_age_ms()};
+        result.m_staleness = std::chrono::milliseconds{source.staleness_ms()};
     }
     for (const wire::PublishedItem& item : source.items())
     {
--- a/tests/support/publication_fleet.hpp
+++ b/tests/support/publication_fleet.hpp
@@ -78,7 +78,7 @@
     publication_fleet(const publication_fleet_settings& settings, std::uint64_t seed)
         : m_settings(settings), m_random(seed)
     {
-        m_events.run_until(time_point{std::chrono::hours{1}});
+        m_events.run_until(started_at());
         for (std::size_t entry = 0; entry < settings.m_entries; ++entry)
         {
             ++m_revision;
@@ -102,6 +102,11 @@
         return m_events.now();
     }
 
+    [[nodiscard]] static constexpr time_point started_at() noexcept
+    {
+        return time_point{std::chrono::hours{1}};
+    }
+
     void run_for(duration length)
     {
         m_events.run_until(now() + length);
@@ -119,12 +124,6 @@
         m_changes.push_back({m_revision, now()});
     }
 
-    /// a node's link loses everything, or its process stands still
-    void silence(std::size_t index, bool is_silent)
-    {
-        m_nodes[index]->m_is_silent = is_silent;
-    }
-
     void set_source_fault(std::size_t index, source_fault fault)
     {
         m_nodes[index]->m_source_fault = fault;
@@ -176,12 +175,6 @@
         return m_nodes[index]->m_sent_bytes;
     }
 
-    /// number of calls to the source by all nodes
-    [[nodiscard]] std::size_t calls() const noexcept
-    {
-        return m_calls;
-    }
-
   private:
     using milliseconds = std::chrono::milliseconds;
 
@@ -197,7 +190,6 @@
         publication_log m_log;
         simulated_link m_up;
         simulated_link m_down;
-        bool m_is_silent{false};
         source_fault m_source_fault{source_fault::none};
         bool m_loses_next_call{false};
         bool m_is_reading{false};
@@ -237,10 +229,6 @@
     {
         m_events.after(tick_period, [this, index] { tick(index); });
         node& self = *m_nodes[index];
-        if (self.m_is_silent)
-        {
-            return;
-        }
         const bool reads = self.m_log.as_of() == 0 || self.m_follower.reads_source(now());
         if (reads && !self.m_is_reading)
         {
@@ -260,7 +248,6 @@
     {
         node& self = *m_nodes[index];
         const std::uint64_t call = ++self.m_call;
-        ++m_calls;
         const time_point sent_at = now();
         self.m_wait = self.m_schedule.watch_wait(sent_at);
         if (self.m_source_fault == source_fault::refused)
@@ -282,7 +269,7 @@
     void hold_call(std::size_t index, std::uint64_t call, time_point sent_at, time_point held_since)
     {
         node& self = *m_nodes[index];
-        if (self.m_call != call || self.m_is_silent || self.m_source_fault != source_fault::none)
+        if (self.m_call != call || self.m_source_fault != source_fault::none)
         {
             return;
         }
@@ -315,7 +302,7 @@
                        const std::vector<published_item>& items, std::uint64_t as_of)
     {
         node& self = *m_nodes[index];
-        if (self.m_call != call || self.m_is_silent || self.m_source_fault != source_fault::none)
+        if (self.m_call != call || self.m_source_fault != source_fault::none)
         {
             return;
         }
@@ -388,10 +375,6 @@
     void receive(std::size_t sender, std::size_t receiver, const peer_content& content)
     {
         node& self = *m_nodes[receiver];
-        if (self.m_is_silent || m_nodes[sender]->m_is_silent)
-        {
-            return;
-        }
         if (const auto* const request = std::get_if<publication_request>(&content))
         {
             post(receiver,
@@ -410,7 +393,6 @@
     std::uint64_t m_history_from{0}; ///< later changes are in the source's history
     std::vector<published_item> m_published;
     std::vector<std::pair<std::uint64_t, time_point>> m_changes; ///< revisions and times of the changes
-    std::size_t m_calls{0};
 };
 
 } // namespace teasellead::testing
--- a/tests/unit/relay-link/unit-relay-link.cpp
+++ b/tests/unit/relay-link/unit-relay-link.cpp
@@ -12,6 +12,8 @@
 using namespace teasellead::testing;
 
 constexpr duration bound = 5s;
+// a quarter of a link of 20 Mbit/s
+constexpr double relay_bytes_per_second = 625'000;
 
 class relay_link_test : public CppUnit::TestFixture
 {
@@ -40,6 +42,7 @@
                 }
                 meter.run_for(12s);
                 check_lag(std::to_string(text_bytes) + " bytes", meter.longest(), bound);
+                check_sent_bytes(fleet, 2 * text_bytes);
             }
         }
     }
@@ -63,18 +66,30 @@
             }
             meter.run_for(12s);
             check_lag(std::to_string(entries) + " entries", meter.longest(), bound);
+            check_sent_bytes(fleet, 2 * entries * settings.m_entry_bytes);
         }
     }
 
   private:
+    /// the reader's replies with and without items keep to the rate, but for the last ones
+    static void check_sent_bytes(const publication_fleet& fleet, std::size_t allowance)
+    {
+        constexpr double empty_replies_per_second = 31.0 / 0.35;
+        constexpr double empty_reply_bytes = 60.0;
+        const double rate = relay_bytes_per_second + empty_replies_per_second * empty_reply_bytes;
+        const double seconds = std::chrono::duration<double>{fleet.now() - fleet.started_at()}.count();
+        const auto sent = static_cast<double>(fleet.sent_bytes(fleet.ranking().front()));
+        CPPUNIT_ASSERT(sent < rate * seconds + static_cast<double>(allowance));
+    }
+
     static publication_fleet_settings slow_fleet()
     {
         publication_fleet_settings settings;
         settings.m_nodes = 31;
-        // what requests leave of a link of 20 Mbit/s, a quarter of which relayed items may use
+        // what requests leave of a link of 20 Mbit/s
         settings.m_bytes_per_second = 1'000'000;
         settings.m_follower = follower_settings::for_bounds(key_freshness, bound);
-        settings.m_follower.m_relay_bytes_per_second = 625'000;
+        settings.m_follower.m_relay_bytes_per_second = relay_bytes_per_second;
         return settings;
     }
 };
