--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -40,6 +41,13 @@
     */
     [[nodiscard]] static follower_settings for_bounds(duration key_freshness, duration change_bound);
 
+    /// staleness of a reader's items up to which its followers don't read the source themselves
+    [[nodiscard]] duration max_reader_staleness() const noexcept
+    {
+        constexpr duration tick = std::chrono::milliseconds{100};
+        return std::max(m_usable_age - m_poll_period - m_reply_timeout - tick, m_usable_age / 2);
+    }
+
     friend bool operator==(const follower_settings&, const follower_settings&) = default;
 };
 
--- a/packages/fleet/include/teasellead/fleet/source_call_schedule.hpp
+++ b/packages/fleet/include/teasellead/fleet/source_call_schedule.hpp
@@ -22,19 +22,21 @@
 /*!
 @brief decides how long calls to the source of published items wait and when they are repeated
 
-The source holds a watch until something changes. A watch that follows a change is held only for the rest of
-the watch time, so that a node's items are confirmed at least once in that time. The first watch after a
+The source holds a watch until something changes. A watch that follows a change is held for a shorter time if
+the node's items would become staler than its followers accept. The first watch after a
 start has a short time limit: the node has just found its peers to be outdated. Does no I/O.
 */
 class source_call_schedule
 {
   public:
     /*!
-    @param[in] watch_time   maximum time for which the source holds a watch
-    @param[in] silent_time  longest time for which a source withholds changes before it drops its history
+    @param[in] watch_time     maximum time for which the source holds a watch
+    @param[in] silent_time    longest time for which a source withholds changes before it drops its history
+    @param[in] max_staleness  time since the items were current that followers of this node accept
     */
-    source_call_schedule(std::chrono::milliseconds watch_time, std::chrono::milliseconds silent_time) noexcept
-        : m_watch_time(watch_time), m_silent_time(silent_time)
+    source_call_schedule(std::chrono::milliseconds watch_time, std::chrono::milliseconds silent_time,
+                         std::chrono::milliseconds max_staleness) noexcept
+        : m_watch_time(watch_time), m_silent_time(silent_time), m_max_staleness(max_staleness)
     {
     }
 
@@ -106,6 +108,7 @@
 
     std::chrono::milliseconds m_watch_time;
     std::chrono::milliseconds m_silent_time;
+    std::chrono::milliseconds m_max_staleness;
     std::chrono::milliseconds m_pause{0};
     time_point m_current_at{};
     bool m_is_first{false}; ///< whether the current call is the first watch after a start
--- a/packages/fleet/src/source_call_schedule.cpp
+++ b/packages/fleet/src/source_call_schedule.cpp
@@ -9,7 +9,7 @@
 
 milliseconds source_call_schedule::watch_wait(time_point now) const noexcept
 {
-    const auto left = std::chrono::duration_cast<milliseconds>(m_current_at + m_watch_time - now);
+    const auto left = std::chrono::duration_cast<milliseconds>(m_current_at + m_max_staleness - now);
     return std::clamp(left, std::min(min_wait, m_watch_time), m_watch_time);
 }
 
