--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -27,6 +27,8 @@
     duration m_reader_timeout{std::chrono::milliseconds{1600}};
     /// time since this node's items were current beyond which it reads the source itself
     duration m_usable_age{std::chrono::milliseconds{3300}};
+    /// the same for the time since the confirmation that keys need, which is older
+    duration m_max_confirmation_age{std::chrono::milliseconds{3300}};
     /// min. time for which a follower reads the source itself
     duration m_own_read_time{std::chrono::seconds{4}};
 
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -39,9 +39,9 @@
     // half of a bound that is too short for a lost call
     const duration latest_start =
         std::max(change_bound - source_call_schedule::catch_up_time(), change_bound / 2);
-    result.m_usable_age =
-        std::min({result.m_usable_age, std::chrono::duration_cast<duration>(key_freshness * usable_fraction),
-                  latest_start});
+    result.m_max_confirmation_age = std::min(
+        result.m_max_confirmation_age, std::chrono::duration_cast<duration>(key_freshness * usable_fraction));
+    result.m_usable_age = std::min({result.m_usable_age, result.m_max_confirmation_age, latest_start});
     return result;
 }
 
@@ -151,6 +151,7 @@
 bool publication_follower::needs_source(time_point now) const
 {
     return now - m_confirmation.m_current_at > m_settings.m_usable_age ||
+           now - m_confirmation.m_confirmed_at > m_settings.m_max_confirmation_age ||
            now - m_reader_seen_at > m_settings.m_reader_timeout;
 }
 
@@ -158,8 +159,8 @@
 {
     // a reader whose source has become silent notices it later than its followers; one without a confirmation
     // has just started to read
-    return reply.m_is_reader &&
-           reply.m_staleness.value_or(std::chrono::milliseconds{0}) <= m_settings.m_usable_age;
+    return reply.m_is_reader && reply.m_staleness.value_or(milliseconds{0}) <= m_settings.m_usable_age &&
+           reply.m_confirmation_age.value_or(milliseconds{0}) <= m_settings.m_max_confirmation_age;
 }
 
 void publication_follower::on_request_failed(time_point now)
--- a/tests/unit/fleet/unit-source-call-schedule.cpp
+++ b/tests/unit/fleet/unit-source-call-schedule.cpp
@@ -46,6 +46,9 @@
         {
             const auto settings = follower_settings::for_bounds(each.m_key_freshness, each.m_change_bound);
             CPPUNIT_ASSERT(settings.m_usable_age == each.m_usable_age);
+            // keys stay usable while a follower goes to the source
+            CPPUNIT_ASSERT(settings.m_max_confirmation_age <= 3300ms);
+            CPPUNIT_ASSERT(settings.m_max_confirmation_age + 1s < each.m_key_freshness);
         }
         CPPUNIT_ASSERT(source_call_schedule::catch_up_time() == 1s);
         CPPUNIT_ASSERT(follower_settings::for_bounds(4700ms, 3s).max_reader_staleness() == max_staleness);
