--- a/tests/soak/soak-platform.cpp
+++ b/tests/soak/soak-platform.cpp
@@ -383,13 +383,13 @@
 
     void set_link_fault(std::size_t link, link_fault fault)
     {
-        std::vector<disturbance>& faults = m_link_faults[link];
+        std::vector<disturbance>& faults = m_one_way_times[link];
         if (!faults.empty())
         {
             faults.back().m_to = std::min(faults.back().m_to, steady::now());
         }
         m_proxies[link]->set_fault(fault);
-        if (fault != link_fault::none)
+        if (fault == link_fault::one_way)
         {
             faults.push_back({steady::now(), steady::time_point::max()});
         }
@@ -439,7 +439,7 @@
                     crashes.push_back(each.m_at);
                 }
             }
-            for (const std::string& line : check_notices(arrivals, m_disturbed, m_link_faults[number]))
+            for (const std::string& line : check_notices(arrivals, m_disturbed, m_one_way_times[number]))
             {
                 m_checker.broken(line);
             }
@@ -496,7 +496,7 @@
     platform_fleet m_fleet;
     teasellead::runtime::loop_thread m_proxy_thread;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
-    std::map<std::size_t, std::vector<disturbance>> m_link_faults; ///< by number of the link's upstream
+    std::map<std::size_t, std::vector<disturbance>> m_one_way_times; ///< by number of the link's upstream
     std::vector<std::string> m_listens;
     promise_checker m_checker;
     std::atomic<bool> m_is_over{false};
--- a/tests/soak/upstream_checks.cpp
+++ b/tests/soak/upstream_checks.cpp
@@ -44,7 +44,7 @@
 
 std::vector<std::string> check_notices(const std::vector<upstream_arrival>& arrivals,
                                        const node_disturbances& disturbed,
-                                       const std::vector<disturbance>& link_faults)
+                                       const std::vector<disturbance>& one_way_times)
 {
     std::map<unsigned, std::vector<const upstream_arrival*>> by_node;
     for (const upstream_arrival& each : arrivals)
@@ -57,7 +57,7 @@
         for (std::size_t index = 0; index < reached.size(); ++index)
         {
             const upstream_arrival& notice = *reached[index];
-            if (any_overlaps(link_faults, notice.m_at, notice.m_at + margin))
+            if (any_overlaps(one_way_times, notice.m_at, notice.m_at))
             {
                 continue;
             }
--- a/tests/soak/upstream_checks.hpp
+++ b/tests/soak/upstream_checks.hpp
@@ -36,13 +36,13 @@
 @param[in] arrivals   requests that reached the upstream, in their order
 @param[in] disturbed  restarts and pauses of nodes; requests of a node after one of them are not checked
 against earlier notices
-@param[in] link_faults  times in which the upstream's link had a fault; notices sent then may not have arrived
+@param[in] one_way_times  times in which the upstream's link discarded all answers, and notices with them
 
 @return a line for the first violation; empty if there is none
 */
 [[nodiscard]] std::vector<std::string> check_notices(const std::vector<upstream_arrival>& arrivals,
                                                      const node_disturbances& disturbed,
-                                                     const std::vector<disturbance>& link_faults);
+                                                     const std::vector<disturbance>& one_way_times);
 
 /*!
 @brief number of times that a crashing request was sent although it had already crashed three upstreams
