--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -135,8 +135,10 @@
 /// parameters of one request
 struct dispatch_request
 {
-    std::string m_route;       ///< name of the route
-    std::string m_fingerprint; ///< digest that is the same for equal requests of one account
+    std::string m_route;         ///< name of the route
+    std::string m_fingerprint;   ///< digest that is the same for equal requests of one account
+    std::string m_account;       ///< empty if the route needs no key
+    std::uint32_t m_priority{0}; ///< the account's, or else the route's; 0 is the most urgent
     repeatability m_repeatability{repeatability::non_idempotent};
     std::vector<std::string> m_services; ///< one, or the shards of a scatter
     std::optional<scatter> m_scatter;
--- a/packages/forwarding/include/teasellead/forwarding/route.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/route.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -92,6 +93,7 @@
     double m_rate{0.0};  ///< requests a second; 0 for no limit
     double m_burst{0.0}; ///< number of requests that may exceed the rate at once
     std::vector<std::string> m_keys;
+    std::optional<std::uint32_t> m_priority{}; ///< takes precedence over the route's priority
 
     friend bool operator==(const account&, const account&) = default;
 };
--- a/packages/forwarding/include/teasellead/forwarding/upstream.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream.hpp
@@ -44,6 +44,7 @@
     std::uint32_t m_running{0};
     std::uint32_t m_waiting{0};
     std::uint32_t m_slots{1};
+    double m_work_factor{1.0}; ///< time that work takes on its host now, relative to the usual time
 
     friend bool operator==(const reported_load&, const reported_load&) = default;
 };
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,6 +38,8 @@
     /// longest time from the publication of any item until this node must use it
     duration m_change_bound{std::chrono::seconds{3}};
     double m_link_bytes_per_second{125'000'000.0}; ///< rate of this node's link in one direction
+    std::size_t m_memory_bytes{256 * 1024 * 1024}; ///< memory that the process may use
+    std::size_t m_max_descriptors{4096};           ///< file descriptors that the process may have open
     duration m_grace_period{}; ///< time from the stop signal after which the process may be killed
     duration m_report_period{std::chrono::milliseconds{1200}}; ///< how often upstreams renew their entries
     forwarding::attempt_budget_settings m_attempt_budget;
--- a/packages/runtime/src/admission.cpp
+++ b/packages/runtime/src/admission.cpp
@@ -44,7 +44,7 @@
     {
         return reject({not_found, {}, {}}, nullptr, {}, "unknown_route");
     }
-    std::string account;
+    const forwarding::account* holder = nullptr;
     if (table->needs_key(*target))
     {
         if (!m_configuration_lease.is_valid(now))
@@ -52,15 +52,16 @@
             return reject(refusal(service_unavailable, not_ready_retry_after), target, {},
                           "configuration_too_old");
         }
-        const forwarding::account* const holder =
-            metadata.m_key ? table->find_account(*metadata.m_key) : nullptr;
+        holder = metadata.m_key ? table->find_account(*metadata.m_key) : nullptr;
         if (holder == nullptr)
         {
             return reject({unauthorised, {}, {}}, target, {}, "unknown_key");
         }
-        account = holder->m_name;
     }
+    std::string account = holder == nullptr ? std::string{} : holder->m_name;
     forwarding::dispatch_request planned = plan(*target, metadata, now);
+    planned.m_account = account;
+    planned.m_priority = holder != nullptr && holder->m_priority ? *holder->m_priority : target->m_priority;
     planned.m_fingerprint =
         request_fingerprint(account, request.m_method + " " + request.m_target, request.m_body);
     return admitted_request{std::move(request), std::move(metadata), std::move(account), table, target,
--- a/tests/unit/platform/unit-decode.cpp
+++ b/tests/unit/platform/unit-decode.cpp
@@ -79,7 +79,7 @@
         const forwarding::traffic_split split{{{"s1", 0.25}, {"s2", 0.75}}};
         CPPUNIT_ASSERT(std::get<forwarding::traffic_split>(read.m_routes[2].m_target) == split);
         CPPUNIT_ASSERT((read.m_services[0] == forwarding::service{"s1", 31, 2.5}));
-        CPPUNIT_ASSERT((read.m_accounts[0] == forwarding::account{"school", 16.0, 8.0, {"k1", "k2"}}));
+        CPPUNIT_ASSERT((read.m_accounts[0] == forwarding::account{"school", 16.0, 8.0, {"k1", "k2"}, 1U}));
         CPPUNIT_ASSERT((read.m_limits == forwarding::caller_limits{4096, 262144, 2000ms, 8000ms}));
     }
 
--- a/tests/unit/platform/unit-http-protocol.cpp
+++ b/tests/unit/platform/unit-http-protocol.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(responses_and_their_classification);
     CPPUNIT_TEST(notices_of_upstreams);
     CPPUNIT_TEST(reply_forwards_fields_for_callers);
+    CPPUNIT_TEST(reported_load);
     CPPUNIT_TEST(responses_to_other_requests_are_detected);
     CPPUNIT_TEST(fields_of_a_gathered_response);
     CPPUNIT_TEST_SUITE_END();
@@ -173,6 +174,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"body"}, reply.m_body);
     }
 
+    void reported_load()
+    {
+        struct row
+        {
+            std::string m_value;
+            std::optional<forwarding::reported_load> m_load;
+        };
+        const std::vector<row> rows{
+            {"3,1,8", forwarding::reported_load{3, 1, 8, 1.0}},
+            {"1,0,4,100", forwarding::reported_load{1, 0, 4, 1.0}},
+            {"1,0,4,250", forwarding::reported_load{1, 0, 4, 2.5}},
+            {"1,0,4,0", forwarding::reported_load{1, 0, 4, 1.0}},
+            {"1,0,4,100,further", forwarding::reported_load{1, 0, 4, 1.0}},
+            {"1,0", std::nullopt},
+            {"1,0,x", std::nullopt},
+            {"1,0,4,", std::nullopt},
+            {"-1,0,4", std::nullopt},
+        };
+        for (const row& each : rows)
+        {
+            const attempt_outcome outcome = m_protocol.read_response(
+                {{200, {{"Server-Stamp", "3e.1"}, {"Server-Load", each.m_value}}, ""}, ""});
+            CPPUNIT_ASSERT(std::get<forwarding::upstream_reply>(outcome).m_load == each.m_load);
+        }
+    }
+
     void responses_to_other_requests_are_detected()
     {
         using runtime::response_match;
