--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -40,7 +40,11 @@
     reason_text{"no_request_id", "it had no request id; it didn't run"},
     reason_text{"no_upstream",
                 "no upstream that it needs could be used: all had left, were evacuated or had failed"},
-    reason_text{"overloaded", "no upstream had free capacity within the time that a request may wait"},
+    reason_text{
+        "overloaded",
+        "no upstream had free capacity within the time that a request may wait, or none was expected"},
+    reason_text{"unlikely_whole",
+                "so many attempts at its shards fail that it would hardly have been complete; it didn't run"},
     reason_text{"upstreams_failed", "its attempts failed, and no further one was allowed or affordable"},
     reason_text{"upstreams_paused", "its upstreams had requested a pause; it didn't run"},
     reason_text{"isolated",
--- a/packages/forwarding/include/teasellead/forwarding/attempt_budget.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/attempt_budget.hpp
@@ -50,14 +50,15 @@
     /*!
     @brief charges an extra attempt to the budget if it isn't used up
 
-    @param[in] service  service that would receive the attempt
-    @param[in] now      current time
+    @param[in] service            service that would receive the attempt
+    @param[in] now                current time
+    @param[in] reserved_fraction  fraction of the whole budget of the service that must be left afterwards
 
     @return whether the attempt may be made
 
     @complexity constant
     */
-    [[nodiscard]] bool try_spend(const std::string& service, time_point now);
+    [[nodiscard]] bool try_spend(const std::string& service, time_point now, double reserved_fraction = 0.0);
 
     /// number of extra attempts that may still be made at a service
     [[nodiscard]] double remaining(const std::string& service, time_point now);
@@ -72,6 +73,8 @@
     };
 
     service_state& state_of(const std::string& service);
+    /// number of extra attempts that may be made at a service in the window that ends now
+    [[nodiscard]] double allowed(service_state& state, time_point now) const;
 
     attempt_budget_settings m_settings;
     double m_slack_share{0.0};
--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -3,52 +3,22 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
-#include "teasellead/forwarding/attempt_budget.hpp"
-#include "teasellead/forwarding/cold_start_limiter.hpp"
-#include "teasellead/forwarding/crash_guard.hpp"
-#include "teasellead/forwarding/latency_estimate.hpp"
+#include "teasellead/forwarding/capacity_forecast.hpp"
+#include "teasellead/forwarding/dispatch_context.hpp"
+#include "teasellead/forwarding/dispatch_result.hpp"
 #include "teasellead/forwarding/route.hpp"
-#include "teasellead/forwarding/upstream_directory.hpp"
+#include "teasellead/forwarding/scatter_progress.hpp"
 #include "teasellead/kernel/clock.hpp"
-#include "teasellead/kernel/random.hpp"
 #include "teasellead/kernel/verdict.hpp"
 
 namespace teasellead::forwarding
 {
 
-/// a header field of a reply, forwarded unchanged
-struct header_field
-{
-    std::string m_name;
-    std::string m_value;
-
-    friend bool operator==(const header_field&, const header_field&) = default;
-};
-
-/// a complete reply of an upstream that ran the request
-struct upstream_reply
-{
-    unsigned m_status{0};
-    std::vector<header_field> m_fields; ///< fields that are forwarded to the caller
-    std::string m_body;
-    std::string m_signature; ///< value with which the caller verifies that the upstream made the reply
-    std::optional<reported_load> m_load;
-
-    [[nodiscard]] bool is_success() const noexcept
-    {
-        return m_status >= 200 && m_status < 300;
-    }
-
-    friend bool operator==(const upstream_reply&, const upstream_reply&) = default;
-};
-
 /// index of an attempt within its request
 using attempt_number = std::size_t;
 
@@ -72,66 +42,6 @@
 /// an action that the driver of a request must execute
 using dispatch_action = std::variant<send_attempt, release_attempt>;
 
-/// result of a request to one service: the reply of an upstream
-struct forwarded
-{
-    upstream_reply m_reply;
-
-    friend bool operator==(const forwarded&, const forwarded&) = default;
-};
-
-/// result of a scatter: the replies of the shards, to be merged into one response
-struct gathered
-{
-    std::vector<upstream_reply> m_shard_replies;
-    std::size_t m_missing{0};     ///< number of shards without a reply
-    std::string m_missing_shards; ///< these shards with the reasons, for logs
-    std::size_t m_max_records{0}; ///< maximum number of records of the response
-
-    friend bool operator==(const gathered&, const gathered&) = default;
-};
-
-/// why a request ends without an upstream's reply
-enum class failure_reason
-{
-    no_upstream,      ///< no upstream can be used
-    overloaded,       ///< no upstream has free capacity
-    upstreams_failed, ///< all attempts failed
-    upstreams_paused, ///< the upstreams have requested a pause
-    isolated, ///< requests with this fingerprint are suspected of crashing upstreams and run one at a time
-    crashes_upstreams, ///< requests with this fingerprint have crashed upstreams and are refused
-    timed_out,         ///< the deadline has passed
-    stopping           ///< the node stops
-};
-
-/// the name of a reason in logs and metrics
-[[nodiscard]] std::string_view to_string(failure_reason reason) noexcept;
-
-/// result of a request without a usable reply
-struct unanswered
-{
-    failure_reason m_reason{failure_reason::upstreams_failed};
-    verdict m_verdict{verdict::may_have_run};
-    std::chrono::milliseconds m_retry_after{0}; ///< meaningful only if the request hasn't run
-
-    friend bool operator==(const unanswered&, const unanswered&) = default;
-};
-
-/// the result of a request
-using dispatch_result = std::variant<forwarded, gathered, unanswered>;
-
-/// objects that all requests of a node share
-struct dispatch_context
-{
-    upstream_directory& m_directory;
-    attempt_budget& m_budget;
-    cold_start_limiter& m_cold_starts;
-    crash_guard& m_crash_guard;
-    random_source& m_random;
-    upstream_directory::capacity_check m_has_capacity;
-    std::unordered_map<std::string, latency_estimate> m_latency_estimates{}; ///< by route
-};
-
 /// parameters of one request
 struct dispatch_request
 {
@@ -236,7 +146,8 @@
         std::uint32_t m_sent{0};      ///< number of attempts that may have reached an upstream
         std::uint32_t m_in_flight{0}; ///< number of attempts in flight
         bool m_is_hedged{false};
-        bool m_is_waiting{false}; ///< whether it waits for capacity or for a trial
+        bool m_is_waiting{false};                     ///< whether it waits for capacity or for a trial
+        std::optional<capacity_queue::place> m_place; ///< present while it waits for capacity
         failure_reason m_reason{failure_reason::no_upstream};
         std::optional<upstream_reply> m_reply; ///< the successful reply, or the latest error reply
         time_point m_next_check{};             ///< time of the hedge, or of the next check while it waits
@@ -272,17 +183,30 @@
     [[nodiscard]] std::string select_trial_service(const std::string& service) const;
     void wait_or_end(sub_request& target, guard_decision decision, time_point now);
     static void wait(sub_request& target, time_point until, time_point now);
+    [[nodiscard]] capacity_waiter waiter_of(const sub_request& target, time_point now) const;
+    [[nodiscard]] bool may_take(const sub_request& target, const std::string& service, const upstream& free,
+                                time_point now) const;
+    [[nodiscard]] bool may_wait_for_capacity(sub_request& target, const std::string& service, time_point now);
+    [[nodiscard]] std::optional<capacity_forecast>
+    forecast_for(const sub_request& target, const std::string& service, time_point now) const;
+    [[nodiscard]] duration expected_wait(time_point now) const;
+    [[nodiscard]] bool try_spend(const sub_request& target, const std::string& service, time_point now);
+    [[nodiscard]] priority_standing standing_at(const std::string& service, time_point now) const;
     void report_to_crash_guard(const attempt_state& failed, attempt_failure failure, time_point now);
     void record_failure(attempt_state& failed, attempt_failure failure, time_point now);
-    void on_no_upstream(sub_request& target, no_upstream reason, time_point now);
+    void on_no_upstream(sub_request& target, const std::string& service, no_upstream reason, time_point now);
     void check(std::size_t index, time_point now, actions& result);
     void retry_or_end(std::size_t index, failure_reason reason, time_point now, actions& result);
     void end_sub_request(sub_request& target, sub_request_state state, failure_reason reason);
     void end_pending(failure_reason reason);
     void release_sub_request(std::size_t index, actions& result);
+    [[nodiscard]] std::optional<failure_reason> reason_not_to_search(time_point now) const;
+    [[nodiscard]] double chance_of_shard(const std::string& service, time_point now) const;
+    [[nodiscard]] scatter_progress progress() const;
     void conclude(time_point now, actions& result);
     void conclude_single(time_point now, actions& result);
     void conclude_scatter(time_point now, actions& result);
+    [[nodiscard]] gathered gather_replies(const scatter_progress& current);
     void finish(dispatch_result outcome, actions& result);
     [[nodiscard]] verdict current_verdict() const noexcept;
     [[nodiscard]] std::string describe_missing() const;
--- /dev/null
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch_context.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "teasellead/forwarding/attempt_budget.hpp"
+#include "teasellead/forwarding/capacity_queue.hpp"
+#include "teasellead/forwarding/cold_start_limiter.hpp"
+#include "teasellead/forwarding/crash_guard.hpp"
+#include "teasellead/forwarding/dispatch_statistics.hpp"
+#include "teasellead/forwarding/latency_estimate.hpp"
+#include "teasellead/forwarding/recent_priorities.hpp"
+#include "teasellead/forwarding/search_outlook.hpp"
+#include "teasellead/forwarding/upstream_directory.hpp"
+#include "teasellead/kernel/random.hpp"
+
+namespace teasellead::forwarding
+{
+
+/// objects that all requests of a node share
+struct dispatch_context
+{
+    upstream_directory& m_directory;
+    attempt_budget& m_budget;
+    cold_start_limiter& m_cold_starts;
+    crash_guard& m_crash_guard;
+    random_source& m_random;
+    upstream_directory::capacity_check m_has_capacity;
+    std::unordered_map<std::string, latency_estimate> m_latency_estimates{}; ///< by route
+    /// expected failures, for the outlook of searches
+    failure_estimate m_failure_estimate{[](const upstream& each, time_point)
+                                        {
+                                            return each.failure_ratio();
+                                        }};
+    capacity_queue m_capacity_queue{};
+    recent_priorities m_priorities{};
+    search_outlook m_outlook{};
+    dispatch_statistics m_statistics{};
+};
+
+} // namespace teasellead::forwarding
--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -129,6 +129,9 @@
     /// whether at least one upstream of a service may get attempts and is neither ejected nor paused
     [[nodiscard]] bool has_candidates(const std::string& service, time_point now) const;
 
+    /// the upstreams of a service that may get attempts and are neither ejected nor paused
+    [[nodiscard]] std::vector<shared_upstream> candidates(const std::string& service, time_point now) const;
+
     /// number of listed upstreams
     [[nodiscard]] std::size_t size() const noexcept
     {
@@ -145,6 +148,8 @@
         time_point m_paused_until{};
     };
 
+    /// whether an upstream may get attempts and is neither ejected nor paused
+    [[nodiscard]] bool is_candidate(const upstream& each, time_point now) const;
     /// whether a later version of the entry has been applied
     [[nodiscard]] bool is_outdated(const upstream_entry& entry) const;
     void insert(const upstream_entry& entry, time_point now);
--- a/packages/forwarding/src/attempt_budget.cpp
+++ b/packages/forwarding/src/attempt_budget.cpp
@@ -30,22 +30,27 @@
     state_of(service).m_requests.add(now);
 }
 
-double attempt_budget::remaining(const std::string& service, time_point now)
+double attempt_budget::allowed(service_state& state, time_point now) const
 {
-    service_state& state = state_of(service);
     const double earned =
         usable_ratio * m_settings.m_ratio * static_cast<double>(state.m_requests.total(now));
-    const double allowed = earned + usable_slack * m_settings.m_slack * m_slack_share;
-    return allowed - static_cast<double>(state.m_extra.total(now));
+    return earned + usable_slack * m_settings.m_slack * m_slack_share;
+}
+
+double attempt_budget::remaining(const std::string& service, time_point now)
+{
+    service_state& state = state_of(service);
+    return allowed(state, now) - static_cast<double>(state.m_extra.total(now));
 }
 
-bool attempt_budget::try_spend(const std::string& service, time_point now)
+bool attempt_budget::try_spend(const std::string& service, time_point now, double reserved_fraction)
 {
-    if (remaining(service, now) < 1.0)
+    service_state& state = state_of(service);
+    if (remaining(service, now) - reserved_fraction * allowed(state, now) < 1.0)
     {
         return false;
     }
-    state_of(service).m_extra.add(now);
+    state.m_extra.add(now);
     return true;
 }
 
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -19,7 +19,6 @@
 constexpr double min_partial_fraction = 0.65;
 // time for the response to reach the caller, and for the caller to connect before its request
 constexpr duration caller_network_time = milliseconds{16};
-constexpr int overdue_factor = 2;
 
 duration fraction_of(duration whole, double fraction)
 {
@@ -28,30 +27,6 @@
 
 } // namespace
 
-std::string_view to_string(failure_reason reason) noexcept
-{
-    switch (reason)
-    {
-    case failure_reason::no_upstream:
-        return "no_upstream";
-    case failure_reason::overloaded:
-        return "overloaded";
-    case failure_reason::upstreams_failed:
-        return "upstreams_failed";
-    case failure_reason::upstreams_paused:
-        return "upstreams_paused";
-    case failure_reason::isolated:
-        return "isolated";
-    case failure_reason::crashes_upstreams:
-        return "crashes_upstreams";
-    case failure_reason::timed_out:
-        return "timed_out";
-    case failure_reason::stopping:
-        return "stopping";
-    }
-    return "unknown";
-}
-
 dispatch::dispatch(dispatch_request request, dispatch_context& context, time_point now)
     : m_request(std::move(request)), m_context(&context),
       m_partial_from(m_request.m_arrived +
@@ -68,19 +43,13 @@
     for (const std::string& service : m_request.m_services)
     {
         m_context->m_budget.on_request(service, now);
+        m_context->m_priorities.on_request(service, m_request.m_priority, now);
     }
-    // a scatter that can't reach the required coverage sends nothing
     if (m_request.m_scatter)
     {
-        const auto reachable = std::count_if(m_request.m_services.begin(), m_request.m_services.end(),
-                                             [this, now](const std::string& service)
-                                             { return m_context->m_directory.has_candidates(service, now); });
-        const double coverage = static_cast<double>(reachable) / static_cast<double>(m_sub_requests.size());
-        if (reachable == 0 || coverage < m_request.m_scatter->m_min_coverage)
+        if (const auto reason = reason_not_to_search(now))
         {
-            const bool is_paused = until_end_of_pause(now) > milliseconds::zero();
-            finish(no_answer(is_paused ? failure_reason::upstreams_paused : failure_reason::no_upstream, now),
-                   result);
+            finish(no_answer(*reason, now), result);
             return result;
         }
     }
@@ -98,6 +67,11 @@
     {
         return;
     }
+    if (target.m_place && target.m_place->is_lost())
+    {
+        end_sub_request(target, sub_request_state::missing, failure_reason::overloaded);
+        return;
+    }
     const std::string& service = m_request.m_services[index];
     const guard_decision decision = check_crash_guard(service, now);
     if (decision == guard_decision::wait || decision == guard_decision::denied)
@@ -113,13 +87,18 @@
         m_context->m_directory.choose(service, target.m_tried, has_capacity, m_context->m_random, now);
     if (const auto* reason = std::get_if<no_upstream>(&chosen))
     {
-        on_no_upstream(target, *reason, now);
+        on_no_upstream(target, service, *reason, now);
+        return;
+    }
+    if (!may_take(target, service, *std::get<shared_upstream>(chosen), now))
+    {
+        on_no_upstream(target, service, no_upstream::all_busy, now);
         return;
     }
     const bool is_extra = target.m_sent > 0;
-    if (is_extra && !m_context->m_budget.try_spend(service, now))
+    if (is_extra && !try_spend(target, service, now))
     {
-        on_no_upstream(target, no_upstream::all_tried, now);
+        on_no_upstream(target, service, no_upstream::all_tried, now);
         return;
     }
     send(index, std::get<shared_upstream>(chosen), decision == guard_decision::trial, now, result);
@@ -131,6 +110,7 @@
     sub_request& target = m_sub_requests[index];
     m_is_trial_active = m_is_trial_active || is_trial;
     target.m_is_waiting = false;
+    target.m_place.reset();
     target.m_tried.push_back(selected);
     ++target.m_sent;
     ++target.m_in_flight;
@@ -138,32 +118,10 @@
     m_attempts.push_back({index, selected, now, is_trial});
     selected->on_start(now);
     m_context->m_cold_starts.on_send(*selected, now);
+    m_context->m_capacity_queue.on_sent(m_request.m_account, now);
     result.emplace_back(send_attempt{m_attempts.size() - 1, selected});
 }
 
-void dispatch::on_no_upstream(sub_request& target, no_upstream reason, time_point now)
-{
-    if (target.m_in_flight > 0)
-    {
-        target.m_next_check = time_point::max();
-        return;
-    }
-    if (reason == no_upstream::all_busy && now < m_capacity_wait_end)
-    {
-        wait(target, m_capacity_wait_end, now);
-        return;
-    }
-    if (reason == no_upstream::all_paused)
-    {
-        end_sub_request(target, sub_request_state::missing, failure_reason::upstreams_paused);
-        return;
-    }
-    const bool is_full = reason == no_upstream::all_busy;
-    const failure_reason known =
-        target.m_sent > 0 ? failure_reason::upstreams_failed : failure_reason::no_upstream;
-    end_sub_request(target, sub_request_state::missing, is_full ? failure_reason::overloaded : known);
-}
-
 duration dispatch::hedge_delay() const
 {
     const duration longest = fraction_of(m_request.m_objective, max_hedge_fraction);
@@ -192,6 +150,7 @@
     --target.m_in_flight;
     answered.m_verdict = verdict::ran;
     m_is_trial_active = m_is_trial_active && !answered.m_is_trial;
+    m_context->m_outlook.on_result(m_request.m_services[answered.m_sub_request], now);
     m_context->m_crash_guard.on_reply(m_request.m_fingerprint, m_request.m_services[answered.m_sub_request],
                                       answered.m_upstream->process(), answered.m_began, now);
     const bool is_success = reply.is_success();
@@ -253,74 +212,6 @@
     return result;
 }
 
-void dispatch::record_failure(attempt_state& failed, attempt_failure failure, time_point now)
-{
-    failed.m_verdict = proves_not_run(failure) ? verdict::not_run : verdict::may_have_run;
-    if (failed.m_is_trial)
-    {
-        m_is_trial_active = false;
-        m_is_trial_used = failed.m_verdict != verdict::not_run;
-    }
-    report_to_crash_guard(failed, failure, now);
-    if (failure == attempt_failure::not_sent)
-    {
-        // nothing was sent, so this isn't evidence of a fault of the upstream
-        failed.m_upstream->on_cancelled(failed.m_began);
-        return;
-    }
-    failed.m_upstream->on_failure(failed.m_began, failure, now);
-}
-
-void dispatch::report_to_crash_guard(const attempt_state& failed, attempt_failure failure, time_point now)
-{
-    crash_guard& guard = m_context->m_crash_guard;
-    const std::string& service = m_request.m_services[failed.m_sub_request];
-    const upstream_process process = failed.m_upstream->process();
-    switch (failure)
-    {
-    case attempt_failure::failed:
-        guard.on_reply(m_request.m_fingerprint, service, process, failed.m_began, now);
-        return;
-    case attempt_failure::shed:
-    case attempt_failure::unusable:
-        guard.on_process_alive(process, failed.m_began, now);
-        return;
-    case attempt_failure::wrong_instance:
-        guard.on_ended(process, now);
-        return;
-    case attempt_failure::broken:
-        // an upstream that is shutting down closes its connections intentionally
-        if (!failed.m_upstream->is_leaving())
-        {
-            guard.on_lost(m_request.m_fingerprint, service, process, failed.m_is_trial, now);
-        }
-        return;
-    case attempt_failure::not_connected:
-    case attempt_failure::not_sent:
-    case attempt_failure::abandoned:
-        return;
-    }
-}
-
-void dispatch::on_abandoned(attempt_number attempt, time_point now)
-{
-    attempt_state& ended = m_attempts.at(attempt);
-    if (!ended.m_is_active)
-    {
-        return;
-    }
-    ended.m_is_active = false;
-    --m_sub_requests[ended.m_sub_request].m_in_flight;
-    const duration expected =
-        std::max(ended.m_upstream->mean_latency(), fraction_of(m_request.m_objective, 1.0));
-    if (now - ended.m_began > expected * overdue_factor)
-    {
-        ended.m_upstream->on_failure(ended.m_began, attempt_failure::abandoned, now);
-        return;
-    }
-    ended.m_upstream->on_cancelled(ended.m_began);
-}
-
 void dispatch::retry_or_end(std::size_t index, failure_reason reason, time_point now, actions& result)
 {
     sub_request& target = m_sub_requests[index];
@@ -342,6 +233,7 @@
     target.m_state = state;
     target.m_reason = reason;
     target.m_is_waiting = false;
+    target.m_place.reset();
 }
 
 void dispatch::end_pending(failure_reason reason)
--- a/packages/forwarding/src/dispatch_crash_check.cpp
+++ b/packages/forwarding/src/dispatch_crash_check.cpp
@@ -13,19 +13,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr duration wait_check_interval = milliseconds{4};
 // includes the round trip to the coordinator, which grants trials
 constexpr duration trial_answer_time = milliseconds{150};
 constexpr milliseconds unanswered_trial_retry_after{200};
 
 } // namespace
 
-void dispatch::wait(sub_request& target, time_point until, time_point now)
-{
-    target.m_is_waiting = true;
-    target.m_next_check = std::min(now + wait_check_interval, until);
-}
-
 void dispatch::wait_or_end(sub_request& target, guard_decision decision, time_point now)
 {
     if (target.m_in_flight > 0)
@@ -34,6 +27,8 @@
         target.m_next_check = time_point::max();
         return;
     }
+    // the attempt isn't ready to use capacity
+    target.m_place.reset();
     if (decision == guard_decision::wait)
     {
         wait(target, m_request.m_response_deadline, now);
--- a/packages/forwarding/src/dispatch_result.cpp
+++ b/packages/forwarding/src/dispatch_result.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "teasellead/forwarding/dispatch.hpp"
+#include "teasellead/forwarding/retry_after.hpp"
 
 namespace teasellead::forwarding
 {
@@ -18,6 +19,32 @@
 
 } // namespace
 
+std::string_view to_string(failure_reason reason) noexcept
+{
+    switch (reason)
+    {
+    case failure_reason::no_upstream:
+        return "no_upstream";
+    case failure_reason::unlikely_whole:
+        return "unlikely_whole";
+    case failure_reason::overloaded:
+        return "overloaded";
+    case failure_reason::upstreams_failed:
+        return "upstreams_failed";
+    case failure_reason::upstreams_paused:
+        return "upstreams_paused";
+    case failure_reason::isolated:
+        return "isolated";
+    case failure_reason::crashes_upstreams:
+        return "crashes_upstreams";
+    case failure_reason::timed_out:
+        return "timed_out";
+    case failure_reason::stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
 void dispatch::conclude(time_point now, actions& result)
 {
     if (m_result)
@@ -50,69 +77,18 @@
     finish(no_answer(only.m_reason, now), result);
 }
 
-void dispatch::conclude_scatter(time_point now, actions& result)
+void dispatch::finish(dispatch_result outcome, actions& result)
 {
-    const auto count = [this](sub_request_state state)
-    {
-        return static_cast<std::size_t>(std::count_if(m_sub_requests.begin(), m_sub_requests.end(),
-                                                      [state](const sub_request& each)
-                                                      { return each.m_state == state; }));
-    };
-    const std::size_t answered = count(sub_request_state::answered);
-    const std::size_t pending = count(sub_request_state::pending);
-    const double shards = static_cast<double>(m_sub_requests.size());
-    const double min_coverage = m_request.m_scatter->m_min_coverage;
-    const bool is_covered = answered > 0 && static_cast<double>(answered) / shards >= min_coverage;
-    const bool is_reachable =
-        static_cast<double>(answered + pending) / shards >= min_coverage && answered + pending > 0;
-    const bool is_done = pending == 0 || (is_covered && now >= m_partial_from);
-    if (is_covered && is_done)
-    {
-        gathered outcome;
-        outcome.m_missing_shards = describe_missing();
-        for (sub_request& each : m_sub_requests)
-        {
-            if (each.m_state == sub_request_state::answered)
-            {
-                outcome.m_shard_replies.push_back(std::move(*each.m_reply));
-            }
-        }
-        outcome.m_missing = m_sub_requests.size() - answered;
-        outcome.m_max_records = m_request.m_scatter->m_max_records;
-        finish(std::move(outcome), result);
-        return;
-    }
-    if (!is_reachable)
+    m_result = std::move(outcome);
+    const auto* const failed = std::get_if<unanswered>(&*m_result);
+    if (failed != nullptr && failed->m_verdict == verdict::not_run)
     {
-        const auto missing =
-            std::find_if(m_sub_requests.begin(), m_sub_requests.end(),
-                         [](const sub_request& each) { return each.m_state == sub_request_state::missing; });
-        finish(
-            no_answer(missing == m_sub_requests.end() ? failure_reason::no_upstream : missing->m_reason, now),
-            result);
+        ++m_context->m_statistics.m_refusals[{failed->m_reason, m_request.m_priority}];
     }
-}
-
-std::string dispatch::describe_missing() const
-{
-    std::string result;
-    for (std::size_t i = 0; i < m_sub_requests.size(); ++i)
+    for (sub_request& each : m_sub_requests)
     {
-        if (m_sub_requests[i].m_state == sub_request_state::answered)
-        {
-            continue;
-        }
-        const bool is_pending = m_sub_requests[i].m_state == sub_request_state::pending;
-        result += result.empty() ? "" : ",";
-        result += m_request.m_services[i] + ":";
-        result += is_pending ? "slow" : std::string{to_string(m_sub_requests[i].m_reason)};
+        each.m_place.reset();
     }
-    return result;
-}
-
-void dispatch::finish(dispatch_result outcome, actions& result)
-{
-    m_result = std::move(outcome);
     m_context->m_crash_guard.end_trial(m_trial_id);
     for (attempt_number i = 0; i < m_attempts.size(); ++i)
     {
@@ -152,11 +128,14 @@
         // another node can serve the request at once
         return unanswered{reason, current_verdict(), milliseconds::zero()};
     }
-    const milliseconds base =
-        reason == failure_reason::overloaded ? busy_retry_after : unreachable_retry_after;
-    const auto spread =
-        static_cast<std::int64_t>(static_cast<double>(base.count()) * m_context->m_random.unit());
-    return unanswered{reason, current_verdict(), base + milliseconds{spread}};
+    const bool is_temporary =
+        reason == failure_reason::overloaded || reason == failure_reason::unlikely_whole;
+    return_conditions conditions;
+    conditions.m_base = is_temporary ? busy_retry_after : unreachable_retry_after;
+    conditions.m_expected_wait = expected_wait(now);
+    conditions.m_more_urgent = standing_at(m_request.m_services.front(), now).m_more_urgent;
+    conditions.m_time_left = m_request.m_response_deadline - now;
+    return unanswered{reason, current_verdict(), retry_after_of(conditions, m_context->m_random)};
 }
 
 } // namespace teasellead::forwarding
--- /dev/null
+++ b/packages/forwarding/src/dispatch_search.cpp
@@ -0,0 +1,111 @@
+#include <algorithm>
+#include <utility>
+
+#include "teasellead/forwarding/dispatch.hpp"
+
+namespace teasellead::forwarding
+{
+
+double dispatch::chance_of_shard(const std::string& service, time_point now) const
+{
+    const std::vector<shared_upstream> usable = m_context->m_directory.candidates(service, now);
+    if (usable.empty())
+    {
+        return 0.0;
+    }
+    if (!m_context->m_outlook.has_evidence(service, now))
+    {
+        return 1.0;
+    }
+    std::vector<double> ratios;
+    std::transform(usable.begin(), usable.end(), std::back_inserter(ratios),
+                   [this, now](const shared_upstream& each)
+                   { return m_context->m_failure_estimate(*each, now); });
+    return chance_of_reply(std::move(ratios), m_request.m_max_attempts);
+}
+
+std::optional<failure_reason> dispatch::reason_not_to_search(time_point now) const
+{
+    std::vector<double> chances;
+    std::transform(m_request.m_services.begin(), m_request.m_services.end(), std::back_inserter(chances),
+                   [this, now](const std::string& service) { return chance_of_shard(service, now); });
+    const auto reachable = static_cast<std::size_t>(
+        std::count_if(chances.begin(), chances.end(), [](double chance) { return chance > 0.0; }));
+    const std::size_t needed = progress().needed();
+    if (reachable < needed)
+    {
+        const bool is_paused = until_end_of_pause(now) > std::chrono::milliseconds::zero();
+        return is_paused ? failure_reason::upstreams_paused : failure_reason::no_upstream;
+    }
+    const bool is_most_urgent = standing_at(m_request.m_services.front(), now).m_more_urgent == 0;
+    const search_decision decision =
+        m_context->m_outlook.decide(chances, needed, is_most_urgent, m_context->m_random);
+    return decision == search_decision::refuse ? std::optional{failure_reason::unlikely_whole} : std::nullopt;
+}
+
+scatter_progress dispatch::progress() const
+{
+    const auto count = [this](sub_request_state state)
+    {
+        return static_cast<std::size_t>(std::count_if(m_sub_requests.begin(), m_sub_requests.end(),
+                                                      [state](const sub_request& each)
+                                                      { return each.m_state == state; }));
+    };
+    return {m_sub_requests.size(), count(sub_request_state::answered), count(sub_request_state::pending),
+            m_request.m_scatter ? m_request.m_scatter->m_min_coverage : 1.0};
+}
+
+void dispatch::conclude_scatter(time_point now, actions& result)
+{
+    const scatter_progress current = progress();
+    const bool is_done = current.m_pending == 0 || now >= m_partial_from;
+    if (current.is_covered() && is_done)
+    {
+        finish(gather_replies(current), result);
+        return;
+    }
+    if (!current.is_reachable())
+    {
+        const auto missing =
+            std::find_if(m_sub_requests.begin(), m_sub_requests.end(),
+                         [](const sub_request& each) { return each.m_state == sub_request_state::missing; });
+        finish(
+            no_answer(missing == m_sub_requests.end() ? failure_reason::no_upstream : missing->m_reason, now),
+            result);
+    }
+}
+
+gathered dispatch::gather_replies(const scatter_progress& current)
+{
+    gathered result;
+    result.m_missing = current.m_shards - current.m_answered;
+    result.m_missing_shards = describe_missing();
+    result.m_max_records = m_request.m_scatter->m_max_records;
+    for (sub_request& each : m_sub_requests)
+    {
+        if (each.m_state == sub_request_state::answered)
+        {
+            result.m_shard_replies.push_back(std::move(*each.m_reply));
+        }
+    }
+    return result;
+}
+
+std::string dispatch::describe_missing() const
+{
+    std::string result;
+    for (std::size_t i = 0; i < m_sub_requests.size(); ++i)
+    {
+        if (m_sub_requests[i].m_state == sub_request_state::answered)
+        {
+            continue;
+        }
+        const bool is_pending = m_sub_requests[i].m_state == sub_request_state::pending;
+        result += result.empty() ? "" : ",";
+        result += m_request.m_services[i] + ":";
+        result += is_pending ? "slow" : std::string{to_string(m_sub_requests[i].m_reason)};
+    }
+    return result;
+}
+
+} // namespace teasellead::forwarding
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -1,6 +1,7 @@
 #include "teasellead/forwarding/upstream_directory.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace teasellead::forwarding
@@ -273,15 +274,29 @@
     return best;
 }
 
+bool upstream_directory::is_candidate(const upstream& each, time_point now) const
+{
+    return may_receive(each) && !each.is_ejected(now) && !each.is_paused(now);
+}
+
 bool upstream_directory::has_candidates(const std::string& service, time_point now) const
 {
     const auto group = m_by_service.find(service);
-    return group != m_by_service.end() && std::any_of(group->second.begin(), group->second.end(),
-                                                      [this, now](const shared_upstream& candidate) {
-                                                          return may_receive(*candidate) &&
-                                                                 !candidate->is_ejected(now) &&
-                                                                 !candidate->is_paused(now);
-                                                      });
+    return group != m_by_service.end() &&
+           std::any_of(group->second.begin(), group->second.end(),
+                       [this, now](const shared_upstream& each) { return is_candidate(*each, now); });
+}
+
+std::vector<shared_upstream> upstream_directory::candidates(const std::string& service, time_point now) const
+{
+    std::vector<shared_upstream> result;
+    const auto group = m_by_service.find(service);
+    if (group != m_by_service.end())
+    {
+        std::copy_if(group->second.begin(), group->second.end(), std::back_inserter(result),
+                     [this, now](const shared_upstream& each) { return is_candidate(*each, now); });
+    }
+    return result;
 }
 
 } // namespace teasellead::forwarding
--- a/packages/runtime/include/teasellead/runtime/request_log.hpp
+++ b/packages/runtime/include/teasellead/runtime/request_log.hpp
@@ -25,10 +25,11 @@
     std::string_view m_fingerprint; ///< empty if the request wasn't admitted
     std::string_view m_route;
     std::string_view m_account;
-    std::string_view m_outcome;           ///< `forwarded`, `gathered`, `refused`, `failed` or `caller_gone`
-    std::string_view m_reason;            ///< empty if the request was served
-    unsigned m_status{0};                 ///< of the response; 0 if none was sent
-    duration m_latency{duration::zero()}; ///< time since the request was received completely
+    std::uint32_t m_priority{0}; ///< 0 is the most urgent, and stands for a request that wasn't admitted
+    std::string_view m_outcome;  ///< `forwarded`, `gathered`, `refused`, `failed` or `caller_gone`
+    std::string_view m_reason;   ///< empty if the request was served
+    unsigned m_status{0};        ///< of the response; 0 if none was sent
+    duration m_latency{duration::zero()};    ///< time since the request was received completely
     duration m_limit_wait{duration::zero()}; ///< portion of the latency spent waiting for the account's limit
     std::size_t m_attempts{0};
     std::size_t m_missing{0};                 ///< number of shards without a reply
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <memory>
 
+#include "dispatch_exposition.hpp"
 #include "teasellead/kernel/overloaded.hpp"
 
 namespace teasellead::runtime
@@ -294,7 +295,8 @@
            exposition_line("teasellead_refused_requests", "gauge",
                            m_crashes.count(forwarding::request_restriction::refused)) +
            exposition_line("teasellead_upstreams_ended_total", "counter", m_ended_upstreams) +
-           m_publications.exposition() + "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
+           dispatch_exposition(m_dispatch_context) + m_publications.exposition() +
+           "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
            m_configuration_delays.lines("teasellead_configuration_delay_milliseconds") +
            "# TYPE teasellead_loop_delay_milliseconds histogram\n" +
            m_loop_delays.lines("teasellead_loop_delay_milliseconds");
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -83,6 +83,7 @@
     entry.m_fingerprint = m_request.m_dispatch.m_fingerprint;
     entry.m_route = m_request.m_route->m_name;
     entry.m_account = m_request.m_account;
+    entry.m_priority = m_request.m_dispatch.m_priority;
     entry.m_outcome = outcome;
     entry.m_reason = reason;
     entry.m_status = status;
--- a/packages/runtime/src/request_log.cpp
+++ b/packages/runtime/src/request_log.cpp
@@ -88,6 +88,7 @@
                  {"request", entry.m_fingerprint.substr(0, fingerprint_digits)},
                  {"route", entry.m_route},
                  {"account", entry.m_account},
+                 {"priority", std::uint64_t{entry.m_priority}},
                  {"outcome", entry.m_outcome},
                  {"reason", entry.m_reason},
                  {"status", std::uint64_t{entry.m_status}},
--- a/tests/support/dispatch_fixture.hpp
+++ b/tests/support/dispatch_fixture.hpp
@@ -54,10 +54,12 @@
     }
 
     /// a request to one service with a latency objective of 100 ms and a deadline in one second
-    forwarding::dispatch single(forwarding::repeatability kind, std::uint32_t max_attempts = 2)
+    forwarding::dispatch single(forwarding::repeatability kind, std::uint32_t max_attempts = 2,
+                                std::uint32_t priority = 0)
     {
         forwarding::dispatch_request request;
         request.m_fingerprint = "f00d";
+        request.m_priority = priority;
         request.m_repeatability = kind;
         request.m_services = {"a"};
         request.m_max_attempts = max_attempts;
@@ -83,6 +85,15 @@
         return {request, m_context, admitted};
     }
 
+    /// isolates the fixture's requests: they lose their connections to two upstreams of a service
+    void isolate(const std::string& service)
+    {
+        for (const char* const replica : {"-0", "-1"})
+        {
+            m_crashes.on_lost("f00d", service, {service + replica, 1}, false, dispatch_start);
+        }
+    }
+
     forwarding::upstream_directory m_directory;
     forwarding::attempt_budget m_budget;
     forwarding::cold_start_limiter m_cold_starts;
--- a/tests/unit/forwarding/unit-attempt-budget.cpp
+++ b/tests/unit/forwarding/unit-attempt-budget.cpp
@@ -5,6 +5,7 @@
 
 #include "teasellead/forwarding/attempt_budget.hpp"
 #include "teasellead/forwarding/configuration_lease.hpp"
+#include "teasellead/forwarding/extra_reserve.hpp"
 #include "teasellead/kernel/random.hpp"
 
 namespace
@@ -21,6 +22,7 @@
     CPPUNIT_TEST_SUITE(attempt_budget_test);
     CPPUNIT_TEST(all_nodes_together_keep_the_bound_in_any_window);
     CPPUNIT_TEST(services_have_budgets_of_their_own);
+    CPPUNIT_TEST(reserve_is_left_for_more_urgent_requests);
     CPPUNIT_TEST(lease_counts_from_the_time_of_the_request);
     CPPUNIT_TEST_SUITE_END();
 
@@ -88,6 +90,49 @@
         CPPUNIT_ASSERT(budget.try_spend("a", start + 11s));
     }
 
+    /// requests of different priority spend all that they may of a budget of 20 extra attempts
+    void reserve_is_left_for_more_urgent_requests()
+    {
+        struct row
+        {
+            const char* m_load;
+            std::vector<std::uint32_t> m_seen; ///< priorities of other requests
+            duration m_seen_ago;
+            extra_attempt m_kind;
+            int m_made; ///< number of extra attempts of requests of priority 1
+        };
+        for (const row& each :
+             {row{"one priority", {1}, 0s, extra_attempt::optional, 20},
+              row{"urgent ones are long ago", {0}, 11s, extra_attempt::optional, 20},
+              row{"hedge beside urgent ones", {0}, 1s, extra_attempt::optional, 10},
+              row{"retry beside urgent ones", {0}, 1s, extra_attempt::retry, 13},
+              row{"last retry beside urgent ones", {0, 2}, 1s, extra_attempt::completing, 15},
+              row{"hedge beside a batch", {2}, 1s, extra_attempt::optional, 15},
+              row{"retry beside a batch", {2}, 1s, extra_attempt::retry, 18},
+              row{"last retry beside a batch", {2}, 1s, extra_attempt::completing, 20}})
+        {
+            attempt_budget budget{{0.2, 40.0, 10s}};
+            budget.set_slack_share(1.0);
+            recent_priorities seen;
+            for (const std::uint32_t priority : each.m_seen)
+            {
+                seen.on_request("a", priority, start - each.m_seen_ago);
+            }
+            const double reserved = reserved_fraction(each.m_kind, seen.standing_of("a", 1, start));
+            int made = 0;
+            while (budget.try_spend("a", start, reserved))
+            {
+                ++made;
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_load, each.m_made, made);
+            while (budget.try_spend("a", start))
+            {
+                ++made;
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_load, 20, made);
+        }
+    }
+
     void lease_counts_from_the_time_of_the_request()
     {
         configuration_lease lease{3s};
--- a/tests/unit/forwarding/unit-dispatch.cpp
+++ b/tests/unit/forwarding/unit-dispatch.cpp
@@ -372,7 +372,7 @@
         for (const bool is_answered : {true, false})
         {
             dispatch_fixture fixture{{"a", "b", "c"}, 3};
-            isolate(fixture, "a");
+            fixture.isolate("a");
             dispatch search = fixture.over_shards({"c", "b", "a"}, 0.5);
             CPPUNIT_ASSERT(sends_of(search.start(dispatch_start)).empty());
             grant(fixture);
@@ -409,15 +409,6 @@
     }
 
   private:
-    /// isolates the fixture's request: it loses its connections to two upstreams of a service
-    static void isolate(dispatch_fixture& fixture, const std::string& service)
-    {
-        for (const char* const replica : {"-0", "-1"})
-        {
-            fixture.m_crashes.on_lost("f00d", service, {service + replica, 1}, false, dispatch_start);
-        }
-    }
-
     /// grants all requested trials
     static void grant(dispatch_fixture& fixture)
     {
