--- a/packages/fleet/include/teasellead/fleet/peer_status.hpp
+++ b/packages/fleet/include/teasellead/fleet/peer_status.hpp
@@ -17,6 +17,15 @@
     return hash64(name);
 }
 
+/// where a node is
+struct node_location
+{
+    endpoint m_address;
+    data_centre_id m_data_centre{0};
+
+    friend auto operator<=>(const node_location&, const node_location&) = default;
+};
+
 /// state of another node that may be serving, from its gossip record
 struct peer_status
 {
--- a/packages/fleet/include/teasellead/fleet/roster.hpp
+++ b/packages/fleet/include/teasellead/fleet/roster.hpp
@@ -157,6 +157,13 @@
     /// state of each node that may be serving, including those that are about to stop
     [[nodiscard]] std::vector<peer_status> peer_statuses(time_point now) const;
 
+    /*!
+    @brief addresses and data centres of all nodes of which a record is kept, this one included
+
+    A node that was lost or has left stays until the longest timeout, since others may still hold what it had.
+    */
+    [[nodiscard]] std::vector<node_location> recent_locations() const;
+
     /// counted nodes of this node's data centre, or of the other data centres, without this node
     [[nodiscard]] std::vector<endpoint> peers(bool is_local, time_point now) const;
 
--- a/packages/fleet/src/roster.cpp
+++ b/packages/fleet/src/roster.cpp
@@ -300,6 +300,16 @@
     return result;
 }
 
+std::vector<node_location> roster::recent_locations() const
+{
+    std::vector<node_location> result{{m_self, data_centre_id_of(m_own_record.m_data_centre)}};
+    for (const auto& [address, node] : m_nodes)
+    {
+        result.push_back({address, data_centre_id_of(node.m_record.m_data_centre)});
+    }
+    return result;
+}
+
 std::vector<endpoint> roster::peers(bool is_local, time_point now) const
 {
     std::vector<endpoint> result;
--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -126,6 +126,15 @@
     choose(const std::string& service, std::span<const shared_upstream> tried,
            const capacity_check& has_capacity, random_source& random, time_point now) const;
 
+    /// listed upstreams of a service in no order, empty if there are none; valid until the next change
+    [[nodiscard]] std::span<const shared_upstream> upstreams_of(const std::string& service) const;
+
+    /// increases whenever the listed upstreams, their entries or the evacuated data centres may have changed
+    [[nodiscard]] std::uint64_t version() const noexcept
+    {
+        return m_version;
+    }
+
     /// whether at least one upstream of a service may get attempts and is neither ejected nor paused
     [[nodiscard]] bool has_candidates(const std::string& service, time_point now) const;
 
@@ -153,6 +162,7 @@
     void record_address(const upstream_entry& entry);
 
     std::string m_own_data_centre;
+    std::uint64_t m_version{0};
     std::set<std::string> m_evacuated;
     std::unordered_map<std::string, shared_upstream> m_by_instance;
     std::unordered_map<std::string, std::vector<shared_upstream>> m_by_service;
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -61,6 +61,7 @@
     if (known != m_by_instance.end())
     {
         const upstream_entry& old = known->second->entry();
+        m_version += old.m_is_draining == entry.m_is_draining ? 0 : 1;
         const bool is_same_process = old.m_incarnation == entry.m_incarnation &&
                                      old.m_address == entry.m_address && old.m_service == entry.m_service;
         if (is_same_process)
@@ -71,6 +72,7 @@
         erase(entry.m_instance);
     }
     record_address(entry);
+    ++m_version;
     const auto added = std::make_shared<upstream>(entry, now);
     added->pause_until(state.m_paused_until);
     if (state.m_has_announced_shutdown)
@@ -133,6 +135,7 @@
     }
     m_by_instance.erase(known);
     m_expired.erase(instance);
+    ++m_version;
 }
 
 void upstream_directory::on_change(const directory_item& item, time_point now)
@@ -214,6 +217,13 @@
 void upstream_directory::set_evacuated(std::set<std::string> data_centres)
 {
     m_evacuated = std::move(data_centres);
+    ++m_version;
+}
+
+std::span<const shared_upstream> upstream_directory::upstreams_of(const std::string& service) const
+{
+    const auto group = m_by_service.find(service);
+    return group == m_by_service.end() ? std::span<const shared_upstream>{} : group->second;
 }
 
 bool upstream_directory::may_receive(const upstream& candidate) const
--- a/packages/runtime/include/teasellead/runtime/client_connection.hpp
+++ b/packages/runtime/include/teasellead/runtime/client_connection.hpp
@@ -124,6 +124,12 @@
         return m_state == state::closed;
     }
 
+    /// whether the server reset the connection before any byte of its response to the first request
+    [[nodiscard]] bool was_reset_on_first_use() const noexcept
+    {
+        return m_was_reset_on_first_use;
+    }
+
     /// whether received bytes, the end of the stream or a socket error haven't been processed by the loop yet
     [[nodiscard]] bool has_unread_input();
 
@@ -157,6 +163,7 @@
     void parse();
     [[nodiscard]] response_match match(const http_response& response) const;
     void on_response();
+    void on_error(const boost::system::error_code& error);
     void on_end_of_stream(bool is_clean);
     void fail(exchange_failure failure_after_sending);
     void end(exchange_result result);
@@ -175,6 +182,8 @@
     int m_skipped{0};         ///< interim responses, and responses to other requests, in the running exchange
     bool m_is_reading{false};
     bool m_is_sending{false};
+    bool m_has_received{false}; ///< whether the server has sent anything
+    bool m_was_reset_on_first_use{false};
     std::uint64_t m_sent_requests{0};
     bool m_has_sent{false}; ///< whether bytes of the running request may have been sent
     time_point m_usable_until{time_point::max()};
--- a/packages/runtime/include/teasellead/runtime/upstream_pool.hpp
+++ b/packages/runtime/include/teasellead/runtime/upstream_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -49,9 +50,31 @@
         return m_opened;
     }
 
+    /// number of connections that an upstream reset while the first request on them had no response yet
+    [[nodiscard]] std::uint64_t reset_on_first_use() const noexcept
+    {
+        return m_reset_on_first_use;
+    }
+
+    /// number of open connections
+    [[nodiscard]] std::size_t held() const noexcept;
+
     /// closes the idle connections to upstreams that are leaving
     void close_unused();
 
+    /// returns the largest number of connections of this node to an upstream
+    using limit_function = std::function<std::size_t(const forwarding::upstream&)>;
+
+    /*!
+    @brief closes idle connections beyond the limits, the least recently used first, and those that may not be
+    used any more
+
+    Connections in use are kept; a later call closes them if they are idle then.
+
+    @param[in] limit_of  limit of each upstream, which may have changed since the connections were opened
+    */
+    void close_surplus(const limit_function& limit_of);
+
   private:
     /// limit for the total size of the unfinished responses of all upstreams
     static constexpr std::size_t max_received_bytes = 48 * 1024 * 1024;
@@ -68,6 +91,7 @@
     std::shared_ptr<receive_budget> m_budget{std::make_shared<receive_budget>(max_received_bytes)};
     std::unordered_map<const forwarding::upstream*, upstream_connections> m_connections;
     std::uint64_t m_opened{0};
+    std::uint64_t m_reset_on_first_use{0};
 };
 
 } // namespace teasellead::runtime
--- a/packages/runtime/src/client_connection.cpp
+++ b/packages/runtime/src/client_connection.cpp
@@ -145,6 +145,7 @@
     m_is_sending = false;
     if (error && m_state == state::busy)
     {
+        on_error(error);
         fail(exchange_failure::lost);
     }
 }
@@ -170,9 +171,11 @@
     }
     if (error)
     {
+        on_error(error);
         on_end_of_stream(error == asio::error::eof);
         return;
     }
+    m_has_received = true;
     if (m_state != state::busy)
     {
         // the server sent bytes although no request is running
@@ -284,6 +287,13 @@
     }
 }
 
+void client_connection::on_error(const boost::system::error_code& error)
+{
+    const bool is_reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
+    const bool is_first_use = m_state == state::busy && m_sent_requests == 1 && !m_has_received;
+    m_was_reset_on_first_use = m_was_reset_on_first_use || (is_reset && is_first_use);
+}
+
 void client_connection::on_end_of_stream(bool is_clean)
 {
     if (m_state != state::busy || !is_clean || !m_parser->is_header_done())
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -30,6 +30,7 @@
 constexpr unsigned ok = 200;
 // longest time from the first failed readiness check until a load balancer sends no more requests
 constexpr milliseconds balancer_lag{3500};
+constexpr milliseconds surplus_check_period{1000};
 
 node_incarnation new_incarnation()
 {
@@ -140,6 +141,7 @@
         m_messenger.prepare(m_state.peers());
         m_messenger.retain(m_state.receivers());
         m_pool.close_unused();
+        close_surplus_connections();
         m_reload.on_tick();
         m_ticker.expires_after(tick_period);
         m_ticker.async_wait(
@@ -152,6 +154,17 @@
             });
     }
 
+    void close_surplus_connections()
+    {
+        const time_point now = m_clock.now();
+        if (now >= m_next_surplus_check)
+        {
+            m_next_surplus_check = now + surplus_check_period;
+            m_pool.close_surplus([this](const forwarding::upstream& target)
+                                 { return m_state.connection_limit(target); });
+        }
+    }
+
     void wait_for_signal()
     {
         m_signals.async_wait(
@@ -225,6 +238,9 @@
     {
         return m_log.exposition() + m_state.exposition() +
                exposition_line("teasellead_upstream_connections_opened_total", "counter", m_pool.opened()) +
+               exposition_line("teasellead_upstream_connections_held", "gauge", m_pool.held()) +
+               exposition_line("teasellead_upstream_connections_reset_on_first_use_total", "counter",
+                               m_pool.reset_on_first_use()) +
                exposition_line("teasellead_requests_in_flight", "gauge", m_callers.in_flight());
     }
 
@@ -249,8 +265,9 @@
     caller_server m_readiness;
     std::optional<caller_server> m_metrics;
     std::vector<endpoint> m_seeds{m_settings.m_seeds}; ///< current seed addresses, which a reload may change
-    std::optional<stop_schedule> m_stop;               ///< once a stop has begun
-    std::size_t m_ended_early{0}; ///< requests whose upstreams were still at work at the end
+    time_point m_next_surplus_check{};
+    std::optional<stop_schedule> m_stop; ///< once a stop has begun
+    std::size_t m_ended_early{0};        ///< requests whose upstreams were still at work at the end
 };
 
 forwarding_node::forwarding_node(const deployment& platform, decision_log& log)
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -14,8 +14,6 @@
 namespace
 {
 
-constexpr std::size_t default_connections = 64;
-
 using messages = std::vector<outgoing_message>;
 
 /// messages that nodes exchange about the rate limits of accounts
@@ -66,6 +64,9 @@
                {data_centre_id_of(platform.settings().m_data_centre), platform.settings().m_data_centres}),
       m_members(platform.settings().m_peer_address, platform.settings().m_data_centre, incarnation,
                 platform.settings().m_seeds, roster_settings{}, clock.now()),
+      m_connection_limits(
+          {platform.settings().m_peer_address, data_centre_id_of(platform.settings().m_data_centre)},
+          m_directory),
       m_dispatch_context{m_directory,
                          m_budget,
                          m_cold_starts,
@@ -73,7 +74,7 @@
                          m_random,
                          [this](const forwarding::upstream& target)
                          {
-                             return m_callbacks.m_has_capacity(target, connection_limit(target));
+                             return has_capacity(target);
                          }},
       m_publications(platform, loop, clock, platform.settings().m_peer_address, m_configuration_lease,
                      m_directory, log,
@@ -199,6 +200,7 @@
         m_configuration_delays.add(received.m_delay_bound);
     }
     m_table = std::make_shared<const forwarding::route_table>(std::move(next));
+    m_connection_limits.on_table(m_table);
     m_cold_starts.on_services(m_table->content().m_services);
     m_quotas.on_declarations(m_table->content().m_accounts, m_clock.now());
     m_callbacks.m_on_route_table(m_table);
@@ -207,8 +209,14 @@
 void node_state::apply_membership(time_point now)
 {
     const std::size_t counted = m_members.counted_nodes(now);
-    m_node_count = std::max<std::size_t>(m_members.recent_nodes(now), 1);
-    m_budget.set_slack_share(1.0 / static_cast<double>(m_node_count));
+    const std::size_t recent = std::max<std::size_t>(m_members.recent_nodes(now), 1);
+    m_budget.set_slack_share(1.0 / static_cast<double>(recent));
+    if (m_connection_limits.on_members(m_members.recent_locations(), m_members.has_converged(now)))
+    {
+        m_log.write(log_level::info, "connection_shares",
+                    {{"nodes", std::uint64_t{m_connection_limits.nodes()}},
+                     {"settled", std::uint64_t{m_members.has_converged(now) ? 1U : 0U}}});
+    }
     const std::vector<endpoint> peers = m_members.peers(now);
     const std::vector<peer_status> statuses = m_members.peer_statuses(now);
     m_crash_exchange.on_members(statuses, m_is_leaving);
@@ -270,15 +278,11 @@
     }
 }
 
-std::size_t node_state::connection_limit(const forwarding::upstream& target) const
+bool node_state::has_capacity(const forwarding::upstream& target)
 {
-    const forwarding::service* const declared =
-        m_table ? m_table->find_service(target.entry().m_service) : nullptr;
-    if (declared == nullptr || declared->m_max_connections == 0)
-    {
-        return default_connections;
-    }
-    return std::max<std::size_t>(1, declared->m_max_connections / m_node_count);
+    const std::size_t limit = connection_limit(target);
+    m_without_share += limit == 0 ? 1 : 0;
+    return m_callbacks.m_has_capacity(target, limit);
 }
 
 std::string node_state::exposition() const
@@ -294,6 +298,10 @@
            exposition_line("teasellead_refused_requests", "gauge",
                            m_crashes.count(forwarding::request_restriction::refused)) +
            exposition_line("teasellead_upstreams_ended_total", "counter", m_ended_upstreams) +
+           exposition_line("teasellead_upstream_connections_allowed", "gauge",
+                           m_connection_limits.allowed()) +
+           exposition_line("teasellead_starved_services", "gauge", m_connection_limits.starved_services()) +
+           exposition_line("teasellead_upstreams_without_share_total", "counter", m_without_share) +
            m_publications.exposition() + "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
            m_configuration_delays.lines("teasellead_configuration_delay_milliseconds") +
            "# TYPE teasellead_loop_delay_milliseconds histogram\n" +
--- a/packages/runtime/src/node_state.hpp
+++ b/packages/runtime/src/node_state.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "connection_limits.hpp"
 #include "publication_agent.hpp"
 #include "teasellead/fleet/crash_exchange.hpp"
 #include "teasellead/fleet/quota_ledger.hpp"
@@ -84,6 +85,12 @@
     /// whether the node can serve requests: all published items were received and it has joined the fleet
     [[nodiscard]] bool is_ready() const;
 
+    /// largest number of connections that this node may hold to an upstream
+    [[nodiscard]] std::size_t connection_limit(const forwarding::upstream& target)
+    {
+        return m_connection_limits.limit(target, m_clock.now());
+    }
+
     /// addresses of the other nodes that may be serving
     [[nodiscard]] std::vector<endpoint> peers() const
     {
@@ -149,7 +156,7 @@
     void process_ended_upstreams();
     void log_crashes();
     void log_holders();
-    [[nodiscard]] std::size_t connection_limit(const forwarding::upstream& target) const;
+    [[nodiscard]] bool has_capacity(const forwarding::upstream& target);
 
     const monotonic_clock& m_clock;
     request_log& m_log;
@@ -164,11 +171,12 @@
     crash_exchange m_crash_exchange;
     quota_ledger m_quotas;
     roster m_members;
+    connection_limits m_connection_limits;
     forwarding::dispatch_context m_dispatch_context;
     publication_agent m_publications;
     bool m_was_fresh{false};
     bool m_is_leaving{false};
-    std::size_t m_node_count{1}; ///< nodes among which connections and the attempt budget are divided
+    std::uint64_t m_without_share{0}; ///< times that an upstream was passed over for want of a share in it
     std::size_t m_logged_node_count{0};
     std::uint64_t m_ended_upstreams{0};
     std::optional<time_point> m_ticked_at; ///< time of the previous tick
--- a/packages/runtime/src/upstream_pool.cpp
+++ b/packages/runtime/src/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include "teasellead/runtime/upstream_pool.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace teasellead::runtime
 {
@@ -22,11 +23,20 @@
     const auto known = m_connections.find(&target);
     if (known == m_connections.end())
     {
-        return true;
+        return limit > 0;
     }
-    const auto& open = known->second.m_open;
-    return open.size() < limit || std::any_of(open.begin(), open.end(),
-                                              [](const shared_connection& each) { return each->is_idle(); });
+    const time_point now = m_clock.now();
+    std::size_t busy = 0;
+    for (const shared_connection& each : known->second.m_open)
+    {
+        if (is_usable(each, now))
+        {
+            return true;
+        }
+        // idle connections that can't be used are closed before another one is opened
+        busy += each->is_idle() ? 0 : 1;
+    }
+    return busy < limit;
 }
 
 std::shared_ptr<client_connection> upstream_pool::acquire(const forwarding::shared_upstream& target)
@@ -57,6 +67,7 @@
     added->on_closed(
         [this, key = target.get(), raw = added.get()]
         {
+            m_reset_on_first_use += raw->was_reset_on_first_use() ? 1 : 0;
             const auto entry = m_connections.find(key);
             if (entry != m_connections.end())
             {
@@ -69,6 +80,30 @@
     return added;
 }
 
+std::size_t upstream_pool::held() const noexcept
+{
+    return std::accumulate(m_connections.begin(), m_connections.end(), std::size_t{0},
+                           [](std::size_t sum, const auto& each) { return sum + each.second.m_open.size(); });
+}
+
+void upstream_pool::close_surplus(const limit_function& limit_of)
+{
+    const time_point now = m_clock.now();
+    for (const auto& [key, known] : m_connections)
+    {
+        const std::size_t limit = limit_of(*known.m_upstream);
+        const std::vector<shared_connection> open = known.m_open;
+        for (const shared_connection& each : open)
+        {
+            const bool is_surplus = known.m_open.size() > limit || !is_usable(each, now);
+            if (each->is_idle() && is_surplus)
+            {
+                each->close();
+            }
+        }
+    }
+}
+
 void upstream_pool::close_unused()
 {
     std::vector<const forwarding::upstream*> unused;
--- a/tests/unit/fleet/unit-roster.cpp
+++ b/tests/unit/fleet/unit-roster.cpp
@@ -138,9 +138,26 @@
     CPPUNIT_TEST(restarted_node_is_counted_although_its_counters_restart);
     CPPUNIT_TEST(groups_rejoin_after_a_long_partition);
     CPPUNIT_TEST(records_of_running_nodes_arrive_in_time);
+    CPPUNIT_TEST(lost_node_has_a_location_until_the_longest_timeout);
     CPPUNIT_TEST_SUITE_END();
 
   public:
+    void lost_node_has_a_location_until_the_longest_timeout()
+    {
+        gossip_fleet fleet{8, 1, 0.0};
+        fleet.run(5s);
+        const std::vector<node_location> all = fleet.at(0).recent_locations();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, all.size());
+        CPPUNIT_ASSERT(
+            (all.front() == node_location{gossip_fleet::address_of(0), data_centre_id_of("dc-2")}));
+        fleet.stop(7);
+        fleet.run(20s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, fleet.at(0).counted_nodes(fleet.now()));
+        CPPUNIT_ASSERT(all == fleet.at(0).recent_locations());
+        fleet.run(15s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, fleet.at(0).recent_locations().size());
+    }
+
     /// with any number of nodes, each receives the records of nearly all others in time
     void records_of_running_nodes_arrive_in_time()
     {
--- a/tests/unit/runtime/unit-client-connection.cpp
+++ b/tests/unit/runtime/unit-client-connection.cpp
@@ -53,6 +53,7 @@
             std::string m_body; ///< empty if the exchange fails
             bool m_is_kept;
             exchange_failure m_failure{exchange_failure::lost};
+            bool m_is_reset_on_first_use{false};
         };
         const std::string own = "Request-Id: own\r\n";
         const std::vector<row> rows{
@@ -72,6 +73,7 @@
             {"truncated chunk", "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n9\r\nbody",
              ending::closed, "", false, exchange_failure::lost},
             {"no response", "", ending::closed, "", false},
+            {"reset without a response", "", ending::reset, "", false, exchange_failure::lost, true},
             {"no HTTP", "what is this\r\n\r\n", ending::kept, "", false, exchange_failure::malformed},
             {"another's first",
              "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 5\r\n\r\nalien"
@@ -114,6 +116,8 @@
                                          received == nullptr ? std::string{} : received->m_response.m_body);
             CPPUNIT_ASSERT(received != nullptr || std::get<exchange_failure>(result) == each.m_failure);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_name, each.m_is_kept, is_kept);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_name, each.m_is_reset_on_first_use,
+                                         connection->was_reset_on_first_use());
         }
     }
 
