--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -6,16 +6,15 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "teasellead/forwarding/attempt_budget.hpp"
 #include "teasellead/forwarding/cold_start_limiter.hpp"
 #include "teasellead/forwarding/crash_guard.hpp"
-#include "teasellead/forwarding/latency_estimate.hpp"
 #include "teasellead/forwarding/route.hpp"
 #include "teasellead/forwarding/upstream_directory.hpp"
+#include "teasellead/forwarding/work_estimator.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/random.hpp"
 #include "teasellead/kernel/verdict.hpp"
@@ -129,7 +128,9 @@
     crash_guard& m_crash_guard;
     random_source& m_random;
     upstream_directory::capacity_check m_has_capacity;
-    std::unordered_map<std::string, latency_estimate> m_latency_estimates{}; ///< by route
+    work_estimator m_work{};
+    std::uint64_t m_choices{0};          ///< number of upstreams that were chosen
+    std::uint64_t m_rerouted_choices{0}; ///< of these, the ones that the estimate of the work changed
 };
 
 /// parameters of one request
@@ -137,6 +138,7 @@
 {
     std::string m_route;         ///< name of the route
     std::string m_fingerprint;   ///< digest that is the same for equal requests of one account
+    std::size_t m_body_bytes{0}; ///< size of the caller's body
     std::string m_account;       ///< empty if the route needs no key
     std::uint32_t m_priority{0}; ///< the account's, or else the route's; 0 is the most urgent
     repeatability m_repeatability{repeatability::non_idempotent};
@@ -247,6 +249,8 @@
         std::size_t m_sub_request{0};
         shared_upstream m_upstream;
         time_point m_began;
+        work_estimate m_work;
+        completion_estimate m_expected;
         bool m_is_trial{false};
         bool m_is_active{true};
         verdict m_verdict{verdict::may_have_run};
@@ -264,7 +268,7 @@
     using actions = std::vector<dispatch_action>;
 
     void try_send(sub_request& target, std::size_t index, time_point now, actions& result);
-    void send(std::size_t index, const shared_upstream& selected, bool is_trial, time_point now,
+    void send(std::size_t index, const upstream_choice& choice, bool is_trial, time_point now,
               actions& result);
     [[nodiscard]] guard_decision check_crash_guard(const std::string& service, time_point now);
     [[nodiscard]] guard_decision on_trial_granted(const std::string& service);
@@ -288,13 +292,16 @@
     [[nodiscard]] std::string describe_missing() const;
     [[nodiscard]] unanswered no_answer(failure_reason reason, time_point now) const;
     [[nodiscard]] std::chrono::milliseconds until_end_of_pause(time_point now) const;
-    [[nodiscard]] duration hedge_delay() const;
+    [[nodiscard]] duration hedge_delay(const upstream_choice& choice) const;
+    [[nodiscard]] bool is_overdue(const attempt_state& attempt, time_point now) const noexcept;
+    void learn_work(const attempt_state& answered, const std::optional<reported_load>& load, time_point now);
     [[nodiscard]] bool may_repeat() const noexcept
     {
         return m_request.m_repeatability == repeatability::idempotent;
     }
 
     dispatch_request m_request;
+    request_profile m_profile;
     dispatch_context* m_context;
     time_point m_partial_from;      ///< time from which a scatter ends as soon as its coverage is sufficient
     time_point m_checked_at{};      ///< time of the last call of @ref on_timer
--- a/packages/forwarding/include/teasellead/forwarding/upstream.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,24 @@
            failure == attempt_failure::shed || failure == attempt_failure::wrong_instance;
 }
 
+/// what was expected of an attempt when it was sent; zero if nothing was
+struct expected_attempt
+{
+    duration m_run{duration::zero()};           ///< time that the upstream runs the request
+    duration m_overdue_after{duration::zero()}; ///< time since the start after which the attempt is overdue
+
+    friend bool operator==(const expected_attempt&, const expected_attempt&) = default;
+};
+
+/// an attempt of this node that has not ended
+struct attempt_in_flight
+{
+    time_point m_began;
+    expected_attempt m_expected;
+
+    friend bool operator==(const attempt_in_flight&, const attempt_in_flight&) = default;
+};
+
 /// an upstream's directory entry with the state that this node derives from its own attempts
 class upstream
 {
@@ -146,11 +165,17 @@
     /// number of attempts in flight
     [[nodiscard]] std::uint32_t in_flight() const noexcept
     {
-        return static_cast<std::uint32_t>(m_start_times.size());
+        return static_cast<std::uint32_t>(m_attempts.size());
     }
 
-    /// records the start of an attempt
-    void on_start(time_point now);
+    /// the attempts in flight, the oldest first
+    [[nodiscard]] std::span<const attempt_in_flight> attempts() const noexcept
+    {
+        return m_attempts;
+    }
+
+    /// records the start of an attempt with what is expected of it
+    void on_start(time_point now, const expected_attempt& expected = {});
 
     /// records a successful reply to the attempt that started at `began`
     void on_reply(time_point began, const std::optional<reported_load>& load, time_point now);
@@ -161,13 +186,20 @@
     /// removes the attempt that started at `began`; its cancellation doesn't count as a failure
     void on_cancelled(time_point began);
 
-    /*!
-    @brief expected latency of a new attempt, for comparison with other upstreams
+    /// records how long a request ran, as a multiple of its work under the reported conditions
+    void on_work(double ratio) noexcept;
+
+    /// moving average of the ratios passed to @ref on_work; 1 before the first
+    [[nodiscard]] double slowness() const noexcept
+    {
+        return m_slowness;
+    }
+
+    /// the latest reported load; empty once it is too old
+    [[nodiscard]] std::optional<reported_load> current_load(time_point now) const;
 
-    Increases with the number of queued requests, with the failure ratio, during the warm-up, and while the
-    oldest attempt in flight is overdue.
-    */
-    [[nodiscard]] duration expected_latency(time_point now) const noexcept;
+    /// fraction of new attempts that is expected to fail
+    [[nodiscard]] double expected_failure_ratio(time_point now) const noexcept;
 
     /// moving average of the latency of successful replies; zero before the first
     [[nodiscard]] duration mean_latency() const noexcept
@@ -190,9 +222,11 @@
     bool m_has_announced_shutdown{false};
     time_point m_paused_until{};
     time_point m_cold_until{};
-    std::vector<time_point> m_start_times; ///< start times of the attempts in flight, the oldest first
+    std::vector<attempt_in_flight> m_attempts;
     duration m_mean_latency{duration::zero()};
-    std::uint32_t m_reported_waiting{0};
+    double m_slowness{1.0};
+    std::uint32_t m_slowness_replies{0};
+    reported_load m_reported_load;
     time_point m_reported_at{};
     double m_failure_ratio{0.0};
     std::uint32_t m_consecutive_failures{0};
--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -10,8 +10,11 @@
 #include <variant>
 #include <vector>
 
+#include "teasellead/forwarding/expected_completion.hpp"
+#include "teasellead/forwarding/network_distance.hpp"
 #include "teasellead/forwarding/upstream.hpp"
 #include "teasellead/forwarding/upstream_notice.hpp"
+#include "teasellead/forwarding/work_estimator.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/random.hpp"
 
@@ -45,6 +48,17 @@
     all_tried   ///< the request has already been sent to all that could be selected
 };
 
+/// the upstream that was selected for an attempt, and why
+struct upstream_choice
+{
+    shared_upstream m_upstream;
+    work_estimate m_work;
+    completion_estimate m_expected;
+    bool m_is_rerouted{false}; ///< whether the estimate is clearly lower than at the nearest least loaded one
+
+    friend bool operator==(const upstream_choice&, const upstream_choice&) = default;
+};
+
 /*!
 @brief the upstreams that are published in the deployment's store, by service
 
@@ -56,7 +70,7 @@
 {
   public:
     /// @param[in] own_data_centre  data centre of this node, whose upstreams are preferred
-    explicit upstream_directory(std::string own_data_centre) : m_own_data_centre(std::move(own_data_centre))
+    explicit upstream_directory(std::string own_data_centre) : m_distances(std::move(own_data_centre))
     {
     }
 
@@ -107,25 +121,49 @@
     using capacity_check = std::function<bool(const upstream&)>;
 
     /*!
-    @brief selects the upstream with the lowest expected latency
+    @brief selects the upstream with the lowest expected completion time
 
-    Upstreams of other data centres get a penalty. A random addition to each latency spreads the load over
-    upstreams that are about equal.
+    A random addition to each time spreads the load over upstreams that are about equal.
 
     @param[in] service       name of the service
+    @param[in] work          expected work of the request
     @param[in] tried         upstreams that the request has already been sent to
     @param[in] has_capacity  whether an upstream has capacity for another attempt
     @param[in] random        source of the random additions
     @param[in] now           current time
 
-    @return the upstream, or the reason why none was selected
+    @return the choice, or the reason why none was made
 
-    @complexity linear in the number of the service's upstreams
+    @complexity linear in the number of the service's upstreams and of this node's attempts at them
     */
-    [[nodiscard]] std::variant<shared_upstream, no_upstream>
-    choose(const std::string& service, std::span<const shared_upstream> tried,
+    [[nodiscard]] std::variant<upstream_choice, no_upstream>
+    choose(const std::string& service, const work_estimate& work, std::span<const shared_upstream> tried,
            const capacity_check& has_capacity, random_source& random, time_point now) const;
 
+    /*!
+    @brief the lowest expected completion time of a request among the upstreams that may get it now
+
+    @param[in] service  name of the service
+    @param[in] work     expected work of the request
+    @param[in] now      current time
+
+    @return the estimate; empty if there is no such upstream
+    */
+    [[nodiscard]] std::optional<completion_estimate>
+    expected_wait(const std::string& service, const work_estimate& work, time_point now) const;
+
+    /// learns the network distance from the latency of a successful attempt
+    void on_latency(const upstream& from, duration latency)
+    {
+        m_distances.add(from.entry().m_service, from.entry().m_data_centre, latency);
+    }
+
+    /// sets how to find out whether a connection to an upstream is open
+    void set_connection_check(connection_check has_connection)
+    {
+        m_has_connection = std::move(has_connection);
+    }
+
     /// whether at least one upstream of a service may get attempts and is neither ejected nor paused
     [[nodiscard]] bool has_candidates(const std::string& service, time_point now) const;
 
@@ -152,7 +190,8 @@
     /// stores which instance uses an address; if an older instance used it and wasn't leaving, it has ended
     void record_address(const upstream_entry& entry);
 
-    std::string m_own_data_centre;
+    network_distance m_distances;
+    connection_check m_has_connection;
     std::set<std::string> m_evacuated;
     std::unordered_map<std::string, shared_upstream> m_by_instance;
     std::unordered_map<std::string, std::vector<shared_upstream>> m_by_service;
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -14,12 +14,9 @@
 constexpr unsigned first_server_error = 500;
 // fractions of the latency objective
 constexpr double capacity_wait_fraction = 0.22;
-constexpr double min_hedge_fraction = 0.08;
-constexpr double max_hedge_fraction = 0.4;
 constexpr double min_partial_fraction = 0.65;
 // time for the response to reach the caller, and for the caller to connect before its request
 constexpr duration caller_network_time = milliseconds{16};
-constexpr int overdue_factor = 2;
 
 duration fraction_of(duration whole, double fraction)
 {
@@ -53,7 +50,8 @@
 }
 
 dispatch::dispatch(dispatch_request request, dispatch_context& context, time_point now)
-    : m_request(std::move(request)), m_context(&context),
+    : m_request(std::move(request)),
+      m_profile(m_request.m_route, m_request.m_fingerprint, m_request.m_body_bytes), m_context(&context),
       m_partial_from(m_request.m_arrived +
                      std::max(m_request.m_objective - caller_network_time,
                               fraction_of(m_request.m_objective, min_partial_fraction))),
@@ -109,8 +107,9 @@
     {
         return m_context->m_cold_starts.may_send(candidate, now) && m_context->m_has_capacity(candidate);
     };
+    const work_estimate work = m_context->m_work.estimate(m_profile, service);
     const auto chosen =
-        m_context->m_directory.choose(service, target.m_tried, has_capacity, m_context->m_random, now);
+        m_context->m_directory.choose(service, work, target.m_tried, has_capacity, m_context->m_random, now);
     if (const auto* reason = std::get_if<no_upstream>(&chosen))
     {
         on_no_upstream(target, *reason, now);
@@ -122,21 +121,24 @@
         on_no_upstream(target, no_upstream::all_tried, now);
         return;
     }
-    send(index, std::get<shared_upstream>(chosen), decision == guard_decision::trial, now, result);
+    send(index, std::get<upstream_choice>(chosen), decision == guard_decision::trial, now, result);
 }
 
-void dispatch::send(std::size_t index, const shared_upstream& selected, bool is_trial, time_point now,
+void dispatch::send(std::size_t index, const upstream_choice& choice, bool is_trial, time_point now,
                     actions& result)
 {
+    const shared_upstream& selected = choice.m_upstream;
+    ++m_context->m_choices;
+    m_context->m_rerouted_choices += choice.m_is_rerouted ? 1 : 0;
     sub_request& target = m_sub_requests[index];
     m_is_trial_active = m_is_trial_active || is_trial;
     target.m_is_waiting = false;
     target.m_tried.push_back(selected);
     ++target.m_sent;
     ++target.m_in_flight;
-    target.m_next_check = is_trial ? time_point::max() : now + hedge_delay();
-    m_attempts.push_back({index, selected, now, is_trial});
-    selected->on_start(now);
+    target.m_next_check = is_trial ? time_point::max() : now + hedge_delay(choice);
+    m_attempts.push_back({index, selected, now, choice.m_work, choice.m_expected, is_trial});
+    selected->on_start(now, expected_attempt_of(choice.m_expected, choice.m_work));
     m_context->m_cold_starts.on_send(*selected, now);
     result.emplace_back(send_attempt{m_attempts.size() - 1, selected});
 }
@@ -164,16 +166,6 @@
     end_sub_request(target, sub_request_state::missing, is_full ? failure_reason::overloaded : known);
 }
 
-duration dispatch::hedge_delay() const
-{
-    const duration longest = fraction_of(m_request.m_objective, max_hedge_fraction);
-    const auto known = m_context->m_latency_estimates.find(m_request.m_route);
-    const auto late =
-        known == m_context->m_latency_estimates.end() ? std::nullopt : known->second.late_threshold();
-    return late ? std::clamp(*late, fraction_of(m_request.m_objective, min_hedge_fraction), longest)
-                : longest;
-}
-
 void dispatch::on_notice(attempt_number attempt, const upstream_notice& notice, time_point now)
 {
     m_context->m_directory.on_notice(*m_attempts.at(attempt).m_upstream, notice, now);
@@ -199,8 +191,7 @@
     if (is_success)
     {
         answered.m_upstream->on_reply(answered.m_began, reply.m_load, now);
-        m_context->m_latency_estimates[m_request.m_route].add(
-            std::min(now - answered.m_began, m_request.m_objective));
+        learn_work(answered, reply.m_load, now);
     }
     else
     {
@@ -311,9 +302,7 @@
     }
     ended.m_is_active = false;
     --m_sub_requests[ended.m_sub_request].m_in_flight;
-    const duration expected =
-        std::max(ended.m_upstream->mean_latency(), fraction_of(m_request.m_objective, 1.0));
-    if (now - ended.m_began > expected * overdue_factor)
+    if (is_overdue(ended, now))
     {
         ended.m_upstream->on_failure(ended.m_began, attempt_failure::abandoned, now);
         return;
--- a/packages/forwarding/src/upstream.cpp
+++ b/packages/forwarding/src/upstream.cpp
@@ -10,18 +10,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr duration default_latency = milliseconds{15};
 constexpr int latency_smoothing = 8; // divisor of each reply's deviation from the average
 constexpr double failure_smoothing = 0.15;
-constexpr double failure_weight = 4.0;
 constexpr std::uint32_t failures_before_ejection = 3;
 constexpr duration min_ejection = milliseconds{250};
 constexpr duration max_ejection = milliseconds{4000};
 constexpr duration load_report_lifetime = milliseconds{250};
-constexpr duration min_overdue_time = milliseconds{12};
-constexpr double overdue_factor = 2.5;
-constexpr duration overdue_penalty = milliseconds{120};
-constexpr double cold_factor = 1.6;
+constexpr std::uint32_t slowness_smoothing = 8;
+// replies that deviate more count as ones at this bound
+constexpr double max_slowness_ratio = 16.0;
 // after a pause, the limit of attempts in flight starts at 1 and doubles with each step, until there is none
 constexpr duration ramp_up_step = milliseconds{250};
 constexpr int ramp_up_steps = 5;
@@ -82,9 +79,9 @@
     return steps >= ramp_up_steps || in_flight() < (1U << steps);
 }
 
-void upstream::on_start(time_point now)
+void upstream::on_start(time_point now, const expected_attempt& expected)
 {
-    m_start_times.push_back(now);
+    m_attempts.push_back({now, expected});
     if (m_consecutive_failures >= failures_before_ejection)
     {
         // after an ejection, only one attempt at a time until one succeeds
@@ -94,10 +91,11 @@
 
 void upstream::remove_in_flight(time_point began)
 {
-    const auto found = std::find(m_start_times.begin(), m_start_times.end(), began);
-    if (found != m_start_times.end())
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(),
+                                    [began](const attempt_in_flight& each) { return each.m_began == began; });
+    if (found != m_attempts.end())
     {
-        m_start_times.erase(found);
+        m_attempts.erase(found);
     }
 }
 
@@ -119,8 +117,7 @@
     m_ejection_time = duration::zero();
     if (load)
     {
-        const std::uint32_t busy = load->m_running + load->m_waiting;
-        m_reported_waiting = busy > load->m_slots ? busy - load->m_slots : 0;
+        m_reported_load = *load;
         m_reported_at = now;
     }
 }
@@ -140,29 +137,22 @@
     }
 }
 
-duration upstream::expected_latency(time_point now) const noexcept
+void upstream::on_work(double ratio) noexcept
 {
-    const duration base = m_mean_latency == duration::zero() ? default_latency : m_mean_latency;
-    double factor = 1.0 + failure_weight * m_failure_ratio;
-    const double slots = std::max<std::uint32_t>(m_entry.m_capacity, 1);
-    const double waiting = now - m_reported_at < load_report_lifetime ? m_reported_waiting : 0.0;
-    const double own = in_flight();
-    factor += waiting / slots + std::max(0.0, own + 1.0 - slots) / slots + 0.25 * own / slots;
-    if (is_cold(now))
-    {
-        factor *= cold_factor;
-    }
-    duration result = std::chrono::duration_cast<duration>(base * factor);
-    if (!m_start_times.empty())
-    {
-        const duration overdue_after =
-            std::max(min_overdue_time, std::chrono::duration_cast<duration>(base * overdue_factor));
-        if (now - m_start_times.front() > overdue_after)
-        {
-            result += overdue_penalty;
-        }
-    }
-    return result;
+    m_slowness_replies = std::min(m_slowness_replies + 1, slowness_smoothing - 1);
+    const double bounded = std::clamp(ratio, 1.0 / max_slowness_ratio, max_slowness_ratio);
+    // the initial value counts as one reply
+    m_slowness += (bounded - m_slowness) / (m_slowness_replies + 1);
+}
+
+std::optional<reported_load> upstream::current_load(time_point now) const
+{
+    return now - m_reported_at < load_report_lifetime ? std::optional{m_reported_load} : std::nullopt;
+}
+
+double upstream::expected_failure_ratio(time_point /*now*/) const noexcept
+{
+    return m_failure_ratio;
 }
 
 } // namespace teasellead::forwarding
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -9,9 +9,7 @@
 namespace
 {
 
-// added to the expected latency of upstreams in other data centres
-constexpr duration remote_penalty = std::chrono::milliseconds{2};
-// maximum random addition to an expected latency, as a fraction of it
+// maximum random addition to an expected time, as a fraction of it
 constexpr double jitter = 0.15;
 // Versions of entries are also kept for removed instances; those are cleared once the total exceeds
 // max_states_per_upstream for each listed upstream, plus min_states.
@@ -23,6 +21,71 @@
     return std::find(tried.begin(), tried.end(), candidate) != tried.end();
 }
 
+duration scaled(duration value, double factor) noexcept
+{
+    return std::chrono::duration_cast<duration>(value * factor);
+}
+
+/// keeps the best of the candidates, and the one that their place and number of attempts alone would select
+class candidate_selection
+{
+  public:
+    void add(const shared_upstream& candidate, const completion_estimate& expected, bool is_near,
+             random_source& random)
+    {
+        const duration total = expected.total();
+        const duration compared = total + scaled(total, jitter * random.unit());
+        if (compared < m_best_time)
+        {
+            m_best = &candidate;
+            m_best_time = compared;
+            m_expected = expected;
+        }
+        const double slots = std::max<std::uint32_t>(candidate->entry().m_capacity, 1);
+        const plain_order order{!is_near, candidate->in_flight() / slots};
+        if (m_plain_time == duration::max() || order < m_plain_order)
+        {
+            m_plain_order = order;
+            m_plain_time = total;
+            return;
+        }
+        // of equal ones, the choice is compared with the best
+        m_plain_time = order == m_plain_order ? std::min(m_plain_time, total) : m_plain_time;
+    }
+
+    /// the best candidate, or null if there is none
+    [[nodiscard]] const shared_upstream* best() const noexcept
+    {
+        return m_best;
+    }
+
+    [[nodiscard]] const completion_estimate& expected() const noexcept
+    {
+        return m_expected;
+    }
+
+    [[nodiscard]] bool is_rerouted() const noexcept
+    {
+        return m_plain_time > scaled(m_expected.total(), 1.0 + jitter);
+    }
+
+  private:
+    /// order of candidates without an estimate
+    struct plain_order
+    {
+        bool m_is_far{false};
+        double m_attempts_per_slot{0.0};
+
+        friend auto operator<=>(const plain_order&, const plain_order&) = default;
+    };
+
+    const shared_upstream* m_best{nullptr};
+    duration m_best_time{duration::max()};
+    completion_estimate m_expected;
+    plain_order m_plain_order;
+    duration m_plain_time{duration::max()};
+};
+
 } // namespace
 
 bool upstream_directory::is_outdated(const upstream_entry& entry) const
@@ -221,17 +284,17 @@
     return !candidate.is_leaving() && m_evacuated.count(candidate.entry().m_data_centre) == 0;
 }
 
-std::variant<shared_upstream, no_upstream>
-upstream_directory::choose(const std::string& service, std::span<const shared_upstream> tried,
-                           const capacity_check& has_capacity, random_source& random, time_point now) const
+std::variant<upstream_choice, no_upstream>
+upstream_directory::choose(const std::string& service, const work_estimate& work,
+                           std::span<const shared_upstream> tried, const capacity_check& has_capacity,
+                           random_source& random, time_point now) const
 {
     const auto group = m_by_service.find(service);
     if (group == m_by_service.end())
     {
         return no_upstream::none_known;
     }
-    shared_upstream best;
-    duration best_latency = duration::max();
+    candidate_selection selection;
     no_upstream failure = no_upstream::none_known;
     for (const shared_upstream& candidate : group->second)
     {
@@ -254,23 +317,40 @@
             failure = no_upstream::all_busy;
             continue;
         }
-        duration expected = candidate->expected_latency(now);
-        if (candidate->entry().m_data_centre != m_own_data_centre)
+        const completion_estimate expected =
+            expected_completion(*candidate, work, m_distances, m_has_connection, now);
+        selection.add(candidate, expected, m_distances.is_own(candidate->entry().m_data_centre), random);
+    }
+    if (selection.best() == nullptr)
+    {
+        return failure;
+    }
+    return upstream_choice{*selection.best(), work, selection.expected(), selection.is_rerouted()};
+}
+
+std::optional<completion_estimate>
+upstream_directory::expected_wait(const std::string& service, const work_estimate& work, time_point now) const
+{
+    std::optional<completion_estimate> result;
+    const auto group = m_by_service.find(service);
+    if (group == m_by_service.end())
+    {
+        return result;
+    }
+    for (const shared_upstream& each : group->second)
+    {
+        if (!may_receive(*each) || each->is_ejected(now) || each->is_paused(now))
         {
-            expected += remote_penalty;
+            continue;
         }
-        expected += std::chrono::duration_cast<duration>(expected * (jitter * random.unit()));
-        if (expected < best_latency)
+        const completion_estimate expected =
+            expected_completion(*each, work, m_distances, m_has_connection, now);
+        if (!result || expected.total() < result->total())
         {
-            best = candidate;
-            best_latency = expected;
+            result = expected;
         }
     }
-    if (!best)
-    {
-        return failure;
-    }
-    return best;
+    return result;
 }
 
 bool upstream_directory::has_candidates(const std::string& service, time_point now) const
--- a/packages/runtime/src/admission.cpp
+++ b/packages/runtime/src/admission.cpp
@@ -61,6 +61,7 @@
     std::string account = holder == nullptr ? std::string{} : holder->m_name;
     forwarding::dispatch_request planned = plan(*target, metadata, now);
     planned.m_account = account;
+    planned.m_body_bytes = request.m_body.size();
     planned.m_priority = holder != nullptr && holder->m_priority ? *holder->m_priority : target->m_priority;
     planned.m_fingerprint =
         request_fingerprint(account, request.m_method + " " + request.m_target, request.m_body);
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "teasellead/kernel/overloaded.hpp"
+#include "work_exposition.hpp"
 
 namespace teasellead::runtime
 {
@@ -294,7 +295,8 @@
            exposition_line("teasellead_refused_requests", "gauge",
                            m_crashes.count(forwarding::request_restriction::refused)) +
            exposition_line("teasellead_upstreams_ended_total", "counter", m_ended_upstreams) +
-           m_publications.exposition() + "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
+           m_publications.exposition() + work_exposition(m_dispatch_context) +
+           "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
            m_configuration_delays.lines("teasellead_configuration_delay_milliseconds") +
            "# TYPE teasellead_loop_delay_milliseconds histogram\n" +
            m_loop_delays.lines("teasellead_loop_delay_milliseconds");
--- a/tests/unit/forwarding/unit-upstream-directory.cpp
+++ b/tests/unit/forwarding/unit-upstream-directory.cpp
@@ -1,5 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+#include <functional>
+
 #include "dispatch_fixture.hpp"
 
 namespace
@@ -34,6 +37,8 @@
     CPPUNIT_TEST(reports_why_no_upstream_is_chosen);
     CPPUNIT_TEST(ejected_upstream_gets_one_trial);
     CPPUNIT_TEST(overdue_upstream_is_avoided);
+    CPPUNIT_TEST(share_of_an_upstream_depends_on_its_expected_completion);
+    CPPUNIT_TEST(expected_wait_is_that_of_the_best_upstream);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -260,7 +265,89 @@
         }
     }
 
+    /// the first of three upstreams differs from the others
+    void share_of_an_upstream_depends_on_its_expected_completion()
+    {
+        struct row
+        {
+            const char* m_name;
+            std::function<void(upstream&)> m_prepare;
+            int m_min; ///< number of 300 choices that the first upstream gets
+            int m_max;
+        };
+        const auto report = [](double factor)
+        {
+            return [factor](upstream& each)
+            {
+                each.on_start(start - 15ms);
+                each.on_reply(start - 15ms, reported_load{1, 0, 3, factor}, start);
+            };
+        };
+        const std::array<row, 5> rows{{
+            {"equal", [](upstream&) {}, 60, 140},
+            {"runs an expensive request",
+             [](upstream& each) {
+                 each.on_start(start, {120ms, 300ms});
+             },
+             0, 0},
+            {"runs a cheap request",
+             [](upstream& each) {
+                 each.on_start(start, {2ms, 6ms});
+             },
+             50, 140},
+            {"slow host", report(3.0), 0, 0},
+            {"work factor 0", report(0.0), 60, 140},
+        }};
+        for (const row& each : rows)
+        {
+            upstream_directory directory{"north"};
+            for (int i = 0; i < 3; ++i)
+            {
+                directory.on_change({"a-" + std::to_string(i), entry_of("a", i)}, start);
+            }
+            std::array<shared_upstream, 3> upstreams;
+            for (shared_upstream& found : upstreams)
+            {
+                const std::vector<shared_upstream> tried{upstreams.begin(), upstreams.end()};
+                found = std::get<upstream_choice>(choose_from(directory, tried)).m_upstream;
+            }
+            each.m_prepare(*upstreams[0]);
+            int chosen = 0;
+            for (int i = 0; i < 300; ++i)
+            {
+                const auto choice = std::get<upstream_choice>(choose_from(directory, {}));
+                chosen += choice.m_upstream == upstreams[0] ? 1 : 0;
+                CPPUNIT_ASSERT(!choice.m_is_rerouted);
+            }
+            CPPUNIT_ASSERT_MESSAGE(each.m_name, chosen >= each.m_min && chosen <= each.m_max);
+        }
+    }
+
+    void expected_wait_is_that_of_the_best_upstream()
+    {
+        CPPUNIT_ASSERT(!m_directory.expected_wait("a", m_work, start));
+        change(entry_of("a", 0));
+        const shared_upstream only = std::get<shared_upstream>(choose("a"));
+        for (int i = 0; i < 6; ++i)
+        {
+            only->on_start(start, {30ms, 90ms});
+        }
+        // four of the six attempts have to end before one of the three slots is free
+        CPPUNIT_ASSERT(m_directory.expected_wait("a", m_work, start)->m_wait == 40ms);
+        change(entry_of("a", 1));
+        CPPUNIT_ASSERT(m_directory.expected_wait("a", m_work, start)->m_wait == 0ms);
+        only->pause_until(start + 1s);
+        CPPUNIT_ASSERT(m_directory.expected_wait("a", m_work, start)->m_run == m_work.m_mean);
+    }
+
   private:
+    std::variant<upstream_choice, no_upstream> choose_from(const upstream_directory& directory,
+                                                           const std::vector<shared_upstream>& tried)
+    {
+        return directory.choose(
+            "a", m_work, tried, [](const upstream&) { return true; }, m_random, m_now);
+    }
+
     void change(const upstream_entry& entry)
     {
         m_directory.on_change({entry.m_instance, entry}, m_now);
@@ -269,8 +356,11 @@
     std::variant<shared_upstream, no_upstream> choose(const std::string& service,
                                                       const std::vector<shared_upstream>& tried = {})
     {
-        return m_directory.choose(
-            service, tried, [this](const upstream&) { return m_has_room; }, m_random, m_now);
+        const auto result = m_directory.choose(
+            service, m_work, tried, [this](const upstream&) { return m_has_room; }, m_random, m_now);
+        const auto* const choice = std::get_if<upstream_choice>(&result);
+        return choice != nullptr ? std::variant<shared_upstream, no_upstream>{choice->m_upstream}
+                                 : std::variant<shared_upstream, no_upstream>{std::get<no_upstream>(result)};
     }
 
     bool is_chosen(const std::string& service)
@@ -280,6 +370,7 @@
 
     upstream_directory m_directory{"north"};
     random_source m_random{3};
+    work_estimate m_work;
     bool m_has_room{true};
     time_point m_now{start};
 };
