--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -47,6 +47,7 @@
 {
     std::string m_route;         ///< name of the route
     std::string m_fingerprint;   ///< digest that is the same for equal requests of one account
+    std::size_t m_body_bytes{0}; ///< size of the caller's body
     std::string m_account;       ///< empty if the route needs no key
     std::uint32_t m_priority{0}; ///< the account's, or else the route's; 0 is the most urgent
     repeatability m_repeatability{repeatability::non_idempotent};
@@ -158,6 +159,8 @@
         std::size_t m_sub_request{0};
         shared_upstream m_upstream;
         time_point m_began;
+        work_estimate m_work;
+        completion_estimate m_expected;
         bool m_is_trial{false};
         bool m_is_active{true};
         verdict m_verdict{verdict::may_have_run};
@@ -175,7 +178,7 @@
     using actions = std::vector<dispatch_action>;
 
     void try_send(sub_request& target, std::size_t index, time_point now, actions& result);
-    void send(std::size_t index, const shared_upstream& selected, bool is_trial, time_point now,
+    void send(std::size_t index, const upstream_choice& choice, bool is_trial, time_point now,
               actions& result);
     [[nodiscard]] guard_decision check_crash_guard(const std::string& service, time_point now);
     [[nodiscard]] guard_decision on_trial_granted(const std::string& service);
@@ -217,13 +220,16 @@
     [[nodiscard]] std::string describe_missing() const;
     [[nodiscard]] unanswered no_answer(failure_reason reason, time_point now) const;
     [[nodiscard]] std::chrono::milliseconds until_end_of_pause(time_point now) const;
-    [[nodiscard]] duration hedge_delay() const;
+    [[nodiscard]] duration hedge_delay(const upstream_choice& choice) const;
+    [[nodiscard]] bool is_overdue(const attempt_state& attempt, time_point now) const noexcept;
+    void learn_work(const attempt_state& answered, const std::optional<reported_load>& load, time_point now);
     [[nodiscard]] bool may_repeat() const noexcept
     {
         return m_request.m_repeatability == repeatability::idempotent;
     }
 
     dispatch_request m_request;
+    request_profile m_profile;
     dispatch_context* m_context;
     time_point m_partial_from;      ///< time from which a scatter ends as soon as its coverage is sufficient
     time_point m_checked_at{};      ///< time of the last call of @ref on_timer
--- a/packages/forwarding/src/dispatch_failure.cpp
+++ b/packages/forwarding/src/dispatch_failure.cpp
@@ -1,18 +1,8 @@
-#include <algorithm>
-
 #include "teasellead/forwarding/dispatch.hpp"
 
 namespace teasellead::forwarding
 {
 
-namespace
-{
-
-// an abandoned attempt counts as a failure after this multiple of the expected latency
-constexpr int overdue_factor = 2;
-
-} // namespace
-
 void dispatch::record_failure(attempt_state& failed, attempt_failure failure, time_point now)
 {
     failed.m_verdict = proves_not_run(failure) ? verdict::not_run : verdict::may_have_run;
@@ -72,8 +62,7 @@
     }
     ended.m_is_active = false;
     --m_sub_requests[ended.m_sub_request].m_in_flight;
-    const duration expected = std::max(ended.m_upstream->mean_latency(), m_request.m_objective);
-    if (now - ended.m_began > expected * overdue_factor)
+    if (is_overdue(ended, now))
     {
         ended.m_upstream->on_failure(ended.m_began, attempt_failure::abandoned, now);
         return;
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -8,6 +8,7 @@
 
 #include "dispatch_exposition.hpp"
 #include "teasellead/kernel/overloaded.hpp"
+#include "work_exposition.hpp"
 
 namespace teasellead::runtime
 {
@@ -303,8 +304,8 @@
                            m_connection_limits.allowed()) +
            exposition_line("teasellead_starved_services", "gauge", m_connection_limits.starved_services()) +
            exposition_line("teasellead_upstreams_without_share_total", "counter", m_without_share) +
-           dispatch_exposition(m_dispatch_context) + m_publications.exposition() +
-           "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
+           dispatch_exposition(m_dispatch_context) + work_exposition(m_dispatch_context) +
+           m_publications.exposition() + "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
            m_configuration_delays.lines("teasellead_configuration_delay_milliseconds") +
            "# TYPE teasellead_loop_delay_milliseconds histogram\n" +
            m_loop_delays.lines("teasellead_loop_delay_milliseconds");
