--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -39,7 +39,6 @@
     std::vector<header_field> m_fields; ///< fields that are forwarded to the caller
     std::string m_body;
     std::string m_signature; ///< value with which the caller verifies that the upstream made the reply
-    std::optional<reported_load> m_load;
 
     [[nodiscard]] bool is_success() const noexcept
     {
--- a/packages/forwarding/include/teasellead/forwarding/upstream.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream.hpp
@@ -7,6 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "teasellead/forwarding/peer_view.hpp"
+#include "teasellead/forwarding/reported_load.hpp"
+#include "teasellead/forwarding/upstream_observation.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/endpoint.hpp"
 
@@ -38,17 +41,6 @@
     friend auto operator<=>(const upstream_process&, const upstream_process&) = default;
 };
 
-/// load that an upstream reports in its replies
-struct reported_load
-{
-    std::uint32_t m_running{0};
-    std::uint32_t m_waiting{0};
-    std::uint32_t m_slots{1};
-    double m_work_factor{1.0}; ///< time that work takes on its host now, relative to the usual time
-
-    friend bool operator==(const reported_load&, const reported_load&) = default;
-};
-
 /// why an attempt at an upstream produced no usable reply
 enum class attempt_failure
 {
@@ -153,7 +145,10 @@
     void on_start(time_point now);
 
     /// records a successful reply to the attempt that started at `began`
-    void on_reply(time_point began, const std::optional<reported_load>& load, time_point now);
+    void on_reply(time_point began, time_point now);
+
+    /// records the load that came with any response
+    void on_load(const reported_load& load, time_point now);
 
     /// records the failure of the attempt that started at `began`, and ejects the upstream if due
     void on_failure(time_point began, attempt_failure failure, time_point now);
@@ -169,6 +164,40 @@
     */
     [[nodiscard]] duration expected_latency(time_point now) const noexcept;
 
+    /*!
+    @brief what this node has recently observed itself, for other nodes
+
+    @return the observation, or nothing while the upstream isn't in trouble and hasn't just recovered
+    */
+    [[nodiscard]] std::optional<upstream_observation> observation(time_point now) const;
+
+    /*!
+    @brief records what another node has observed
+
+    @param[in] reporter  node that made the observation and sent it to this node; empty if it was relayed
+    @param[in] observed  the observation
+    @param[in] now       current time
+    */
+    void on_peer_observation(const std::optional<endpoint>& reporter, const upstream_observation& observed,
+                             time_point now);
+
+    /// whether the upstream has reported its load to this node
+    [[nodiscard]] bool reports_load() const noexcept
+    {
+        return m_load.has_value();
+    }
+
+    /// the load that this node was told itself while that is recent, otherwise that which peers were told
+    [[nodiscard]] std::optional<reported_load> current_load(time_point now) const;
+
+    /*!
+    @brief fraction of attempts that are expected to fail, 0 to 1
+
+    The own failure ratio is the lower bound. Peers' observations raise it, less so the more attempts of this
+    node have ended recently.
+    */
+    [[nodiscard]] double expected_failure_ratio(time_point now) const noexcept;
+
     /// moving average of the latency of successful replies; zero before the first
     [[nodiscard]] duration mean_latency() const noexcept
     {
@@ -184,6 +213,12 @@
   private:
     /// removes an attempt from those in flight
     void remove_in_flight(time_point began);
+    /// counts an attempt that has ended with a reply or a failure
+    void count_outcome(time_point now);
+    /// what is wrong with it according to the attempts of this node
+    [[nodiscard]] upstream_trouble own_trouble(time_point now) const noexcept;
+    /// records when it was last seen in trouble
+    void update_trouble(time_point now);
 
     upstream_entry m_entry;
     bool m_is_removed{false};
@@ -192,12 +227,17 @@
     time_point m_cold_until{};
     std::vector<time_point> m_start_times; ///< start times of the attempts in flight, the oldest first
     duration m_mean_latency{duration::zero()};
-    std::uint32_t m_reported_waiting{0};
+    std::optional<reported_load> m_load; ///< the latest that was reported to this node
     time_point m_reported_at{};
     double m_failure_ratio{0.0};
     std::uint32_t m_consecutive_failures{0};
     time_point m_ejected_until{};
     duration m_ejection_time{duration::zero()};
+    upstream_trouble m_last_failure{upstream_trouble::none}; ///< kind of the latest failure
+    time_point m_last_outcome{};                             ///< when the latest attempt ended
+    std::uint32_t m_recent_outcomes{0}; ///< ended attempts without a long pause between them
+    time_point m_last_trouble{};        ///< when it was last seen in trouble
+    peer_view m_peers;
 };
 
 /// an upstream, shared by the directory and the attempts in flight
--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -73,7 +73,7 @@
     void on_removed(const std::string& instance, bool keep_if_expired);
 
     /*!
-    @brief applies what an upstream has announced in a response
+    @brief applies what an upstream has announced in a response, and the load that it reported
 
     The announcement stays in force for the same process if its entry is removed and published again. A pause
     longer than @ref longest_pause is shortened to it.
@@ -129,6 +129,19 @@
     /// whether at least one upstream of a service may get attempts and is neither ejected nor paused
     [[nodiscard]] bool has_candidates(const std::string& service, time_point now) const;
 
+    /// the listed upstream with an instance name, or null
+    [[nodiscard]] shared_upstream find(const std::string& instance) const
+    {
+        const auto found = m_by_instance.find(instance);
+        return found == m_by_instance.end() ? nullptr : found->second;
+    }
+
+    /// all listed upstreams by instance name
+    [[nodiscard]] const std::unordered_map<std::string, shared_upstream>& upstreams() const noexcept
+    {
+        return m_by_instance;
+    }
+
     /// number of listed upstreams
     [[nodiscard]] std::size_t size() const noexcept
     {
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -198,7 +198,7 @@
     const bool is_retryable = may_repeat() && reply.m_status >= first_server_error;
     if (is_success)
     {
-        answered.m_upstream->on_reply(answered.m_began, reply.m_load, now);
+        answered.m_upstream->on_reply(answered.m_began, now);
         m_context->m_latency_estimates[m_request.m_route].add(
             std::min(now - answered.m_began, m_request.m_objective));
     }
--- a/packages/forwarding/src/upstream.cpp
+++ b/packages/forwarding/src/upstream.cpp
@@ -25,6 +25,29 @@
 // after a pause, the limit of attempts in flight starts at 1 and doubles with each step, until there is none
 constexpr duration ramp_up_step = milliseconds{250};
 constexpr int ramp_up_steps = 5;
+// ended attempts after which the observations of peers have no effect
+constexpr std::uint32_t sufficient_outcomes = 4;
+// from these on, other nodes are told
+constexpr double notable_failure_ratio = 0.1;
+constexpr double notable_work_factor = 2.0;
+// an observation is sent for this long after the attempt that it comes from
+constexpr duration announce_time = milliseconds{300};
+// how long after the last trouble an upstream counts as just recovered
+constexpr duration recovery_time = observation_lifetime;
+
+/// the trouble that a failure of an attempt is a sign of
+upstream_trouble trouble_of(attempt_failure failure) noexcept
+{
+    switch (failure)
+    {
+    case attempt_failure::shed:
+        return upstream_trouble::shed;
+    case attempt_failure::abandoned:
+        return upstream_trouble::slow;
+    default:
+        return upstream_trouble::broken;
+    }
+}
 
 } // namespace
 
@@ -106,7 +129,91 @@
     remove_in_flight(began);
 }
 
-void upstream::on_reply(time_point began, const std::optional<reported_load>& load, time_point now)
+void upstream::on_load(const reported_load& load, time_point now)
+{
+    m_load = bounded(load);
+    m_reported_at = now;
+    update_trouble(now);
+}
+
+void upstream::count_outcome(time_point now)
+{
+    const bool is_recent = now - m_last_outcome < observation_lifetime;
+    m_recent_outcomes = is_recent ? std::min(m_recent_outcomes + 1, sufficient_outcomes) : 1;
+    m_last_outcome = now;
+    update_trouble(now);
+}
+
+upstream_trouble upstream::own_trouble(time_point now) const noexcept
+{
+    if (m_failure_ratio >= notable_failure_ratio)
+    {
+        return m_last_failure;
+    }
+    const bool is_loaded =
+        m_load && now - m_reported_at < load_report_lifetime &&
+        (m_load->m_waiting >= m_load->m_slots || m_load->m_work_factor >= notable_work_factor);
+    return is_loaded ? upstream_trouble::slow : upstream_trouble::none;
+}
+
+void upstream::update_trouble(time_point now)
+{
+    if (own_trouble(now) != upstream_trouble::none)
+    {
+        m_last_trouble = now;
+    }
+}
+
+std::optional<upstream_observation> upstream::observation(time_point now) const
+{
+    const time_point observed_at = std::max(m_last_outcome, m_reported_at);
+    const bool is_recent = now - observed_at < announce_time;
+    const bool was_in_trouble = m_last_trouble != time_point{} && now - m_last_trouble < recovery_time;
+    if (!is_recent || !was_in_trouble)
+    {
+        return std::nullopt;
+    }
+    upstream_observation result;
+    result.m_trouble = own_trouble(now);
+    result.m_failure_ratio = m_failure_ratio;
+    if (now - m_reported_at < load_report_lifetime)
+    {
+        result.m_load = m_load;
+    }
+    result.m_age = now - observed_at;
+    return result;
+}
+
+void upstream::on_peer_observation(const std::optional<endpoint>& reporter,
+                                   const upstream_observation& observed, time_point now)
+{
+    m_peers.add(reporter, observed, now);
+}
+
+std::optional<reported_load> upstream::current_load(time_point now) const
+{
+    const bool is_recent = m_load && now - m_reported_at < load_report_lifetime;
+    if (is_recent)
+    {
+        return m_load;
+    }
+    auto result = m_peers.load(now);
+    if (result)
+    {
+        // peers can't claim more slots than the upstream has published
+        result->m_slots = std::clamp(result->m_slots, 1U, std::max(m_entry.m_capacity, 1U));
+    }
+    return result;
+}
+
+double upstream::expected_failure_ratio(time_point now) const noexcept
+{
+    const double own = now - m_last_outcome < observation_lifetime ? m_recent_outcomes : 0.0;
+    const double peers_weight = 1.0 - own / sufficient_outcomes;
+    return std::max(m_failure_ratio, peers_weight * m_peers.failure_ratio(now));
+}
+
+void upstream::on_reply(time_point began, time_point now)
 {
     remove_in_flight(began);
     const duration latency = now - began;
@@ -117,12 +224,7 @@
     m_consecutive_failures = 0;
     m_ejected_until = time_point{};
     m_ejection_time = duration::zero();
-    if (load)
-    {
-        const std::uint32_t busy = load->m_running + load->m_waiting;
-        m_reported_waiting = busy > load->m_slots ? busy - load->m_slots : 0;
-        m_reported_at = now;
-    }
+    count_outcome(now);
 }
 
 void upstream::on_failure(time_point began, attempt_failure failure, time_point now)
@@ -130,6 +232,8 @@
     remove_in_flight(began);
     m_failure_ratio += failure_smoothing * (1.0 - m_failure_ratio);
     ++m_consecutive_failures;
+    m_last_failure = trouble_of(failure);
+    count_outcome(now);
     const bool is_unreachable =
         failure == attempt_failure::not_connected || failure == attempt_failure::wrong_instance;
     if (is_unreachable || m_consecutive_failures >= failures_before_ejection)
@@ -143,9 +247,10 @@
 duration upstream::expected_latency(time_point now) const noexcept
 {
     const duration base = m_mean_latency == duration::zero() ? default_latency : m_mean_latency;
-    double factor = 1.0 + failure_weight * m_failure_ratio;
+    double factor = 1.0 + failure_weight * expected_failure_ratio(now);
     const double slots = std::max<std::uint32_t>(m_entry.m_capacity, 1);
-    const double waiting = now - m_reported_at < load_report_lifetime ? m_reported_waiting : 0.0;
+    const reported_load load = current_load(now).value_or(reported_load{});
+    const double waiting = std::max(0.0, static_cast<double>(load.m_running) + load.m_waiting - load.m_slots);
     const double own = in_flight();
     factor += waiting / slots + std::max(0.0, own + 1.0 - slots) / slots + 0.25 * own / slots;
     if (is_cold(now))
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -163,6 +163,14 @@
 
 void upstream_directory::on_notice(upstream& from, const upstream_notice& notice, time_point now)
 {
+    if (notice.m_load)
+    {
+        from.on_load(*notice.m_load, now);
+    }
+    if (!notice.is_request())
+    {
+        return;
+    }
     instance_state& state = m_instance_states[from.entry().m_instance];
     const bool is_same_process = state.m_incarnation == from.entry().m_incarnation;
     if (notice.m_is_leaving)
--- a/packages/runtime/include/teasellead/runtime/request_log.hpp
+++ b/packages/runtime/include/teasellead/runtime/request_log.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -60,6 +61,9 @@
     */
     void count_attempt(std::string_view service, std::string_view result);
 
+    /// counts a load report that couldn't be read; logs it once for each upstream and reason
+    void count_unreadable_load(const std::string& instance, std::string_view reason);
+
     /// writes another line, subject to the rate limit of its event
     void write(log_level level, std::string_view event, const std::vector<log_field>& fields);
 
@@ -90,6 +94,8 @@
     std::map<std::string, route_counts, std::less<>> m_routes;
     /// number of finished attempts by service, then by result
     std::map<std::string, std::map<std::string, std::uint64_t, std::less<>>, std::less<>> m_attempts;
+    std::map<std::string, std::uint64_t, std::less<>> m_unreadable_loads; ///< numbers by reason
+    std::set<std::string> m_logged_loads; ///< instances and reasons of which a line was written
 };
 
 } // namespace teasellead::runtime
--- a/packages/runtime/include/teasellead/runtime/wire_protocol.hpp
+++ b/packages/runtime/include/teasellead/runtime/wire_protocol.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -23,11 +24,35 @@
     friend bool operator==(const request_metadata&, const request_metadata&) = default;
 };
 
-/// notice that an upstream attached to a response, such as that it is leaving or needs a pause
+/// why the load that came with a response couldn't be read
+enum class load_fault
+{
+    none,
+    too_few_figures,
+    not_a_count
+};
+
+/// the name of a fault in logs and metrics
+[[nodiscard]] constexpr std::string_view to_string(load_fault fault) noexcept
+{
+    switch (fault)
+    {
+    case load_fault::none:
+        return "none";
+    case load_fault::too_few_figures:
+        return "too_few_figures";
+    case load_fault::not_a_count:
+        return "not_a_count";
+    }
+    return "unknown";
+}
+
+/// notice that an upstream attached to a response, such as its load, or that it is leaving or needs a pause
 struct parsed_notice
 {
     forwarding::upstream_notice m_notice;
     std::string m_invalid_value; ///< a value that couldn't be parsed, for logs; empty if there is none
+    load_fault m_load_fault{load_fault::none};
 
     friend bool operator==(const parsed_notice&, const parsed_notice&) = default;
 };
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -203,7 +203,12 @@
             {{"instance", from.entry().m_instance}, {"value", reading.m_invalid_value}});
     }
     const forwarding::upstream_notice& notice = reading.m_notice;
-    if (notice == forwarding::upstream_notice{})
+    m_dispatch.on_notice(attempt, notice, now);
+    if (reading.m_load_fault != load_fault::none)
+    {
+        m_environment.m_log.count_unreadable_load(from.entry().m_instance, to_string(reading.m_load_fault));
+    }
+    if (!notice.is_request())
     {
         return;
     }
@@ -213,7 +218,6 @@
          {"service", from.entry().m_service},
          {"leaving", std::uint64_t{notice.m_is_leaving ? 1U : 0U}},
          {"pause_ms", static_cast<std::uint64_t>(notice.m_pause.value_or(milliseconds{0}).count())}});
-    m_dispatch.on_notice(attempt, notice, now);
 }
 
 void request_driver::on_attempt_end(forwarding::attempt_number attempt, exchange_result result)
--- a/packages/runtime/src/request_log.cpp
+++ b/packages/runtime/src/request_log.cpp
@@ -15,6 +15,8 @@
 constexpr double burst_s = 2.0;
 constexpr std::size_t max_routes = 200;
 constexpr std::size_t max_services = 200;
+// most lines about unreadable loads
+constexpr std::size_t max_logged_loads = 1024;
 constexpr std::string_view other_label = "other";
 
 /// label under which a name is counted: the name itself, or `other` if there are too many names
@@ -105,6 +107,16 @@
     ++counter_of(counter_of(m_attempts, label_of(m_attempts, service, max_services)), result);
 }
 
+void request_log::count_unreadable_load(const std::string& instance, std::string_view reason)
+{
+    ++counter_of(m_unreadable_loads, reason);
+    if (m_logged_loads.size() < max_logged_loads &&
+        m_logged_loads.insert(instance + ' ' + std::string{reason}).second)
+    {
+        write(log_level::warning, "unreadable_load", {{"instance", instance}, {"reason", reason}});
+    }
+}
+
 std::string request_log::attempts_exposition() const
 {
     std::ostringstream text;
@@ -148,6 +160,12 @@
         text << counts.m_latencies.lines("teasellead_request_milliseconds", "route=\"" + route + "\"");
     }
     text << attempts_exposition();
+    text << "# HELP teasellead_unreadable_loads_total Load reports of upstreams that couldn't be read.\n"
+            "# TYPE teasellead_unreadable_loads_total counter\n";
+    for (const auto& [reason, count] : m_unreadable_loads)
+    {
+        text << "teasellead_unreadable_loads_total{reason=\"" << reason << "\"} " << count << '\n';
+    }
     text << "# HELP teasellead_log_lines_dropped_total Log lines dropped because the reader was too slow.\n"
             "# TYPE teasellead_log_lines_dropped_total counter\n"
             "teasellead_log_lines_dropped_total "
--- a/tests/support/dispatch_fixture.hpp
+++ b/tests/support/dispatch_fixture.hpp
@@ -110,7 +110,7 @@
 /// a complete reply with a status
 inline forwarding::upstream_reply reply_of(unsigned status, std::string body = {})
 {
-    return {status, {}, std::move(body), "signature", std::nullopt};
+    return {status, {}, std::move(body), "signature"};
 }
 
 } // namespace teasellead::test
--- a/tests/support/forwarding/simulated_process.hpp
+++ b/tests/support/forwarding/simulated_process.hpp
@@ -323,11 +323,11 @@
                      const simulated_outcome& outcome, time_point now)
     {
         const forwarding::upstream_notice& notice = outcome.m_notice;
-        if (notice == forwarding::upstream_notice{})
+        running.m_dispatch.on_notice(attempt, notice, now);
+        if (!notice.is_request())
         {
             return;
         }
-        running.m_dispatch.on_notice(attempt, notice, now);
         m_world.m_events.m_notices.push_back(
             {m_node, m_life, running.m_dispatch.upstream_of(attempt).entry().m_instance, notice.m_is_leaving,
              outcome.m_answered, now, notice.m_pause.value_or(std::chrono::milliseconds{0})});
--- a/tests/support/forwarding/simulated_upstreams.hpp
+++ b/tests/support/forwarding/simulated_upstreams.hpp
@@ -331,7 +331,7 @@
 
     [[nodiscard]] static forwarding::upstream_notice notice_of(const process& from)
     {
-        return {from.m_says_leaving, std::nullopt};
+        return {from.m_says_leaving, std::nullopt, forwarding::reported_load{from.m_in_flight, 0, capacity}};
     }
 
     [[nodiscard]] static forwarding::upstream_reply reply_of(const process& from)
@@ -339,7 +339,6 @@
         forwarding::upstream_reply reply;
         reply.m_status = 200;
         reply.m_body = from.m_entry.m_service;
-        reply.m_load = forwarding::reported_load{from.m_in_flight, 0, capacity};
         return reply;
     }
 
--- a/tests/unit/forwarding/unit-upstream-directory.cpp
+++ b/tests/unit/forwarding/unit-upstream-directory.cpp
@@ -243,7 +243,7 @@
         CPPUNIT_ASSERT(is_chosen("a"));
         only->on_start(m_now);
         CPPUNIT_ASSERT(!is_chosen("a"));
-        only->on_reply(m_now, std::nullopt, m_now + 5ms);
+        only->on_reply(m_now, m_now + 5ms);
         CPPUNIT_ASSERT(is_chosen("a"));
     }
 
--- a/tests/unit/platform/unit-http-protocol.cpp
+++ b/tests/unit/platform/unit-http-protocol.cpp
@@ -170,7 +170,6 @@
         const std::vector<header_field> expected{
             {"Server-Stamp", "3e.1"}, {"Request-Id", "9c"}, {"Content-Type", "text/plain"}};
         CPPUNIT_ASSERT(reply.m_fields == expected);
-        CPPUNIT_ASSERT((reply.m_load == forwarding::reported_load{3, 1, 8}));
         CPPUNIT_ASSERT_EQUAL(std::string{"body"}, reply.m_body);
     }
 
@@ -180,6 +179,7 @@
         {
             std::string m_value;
             std::optional<forwarding::reported_load> m_load;
+            runtime::load_fault m_fault{runtime::load_fault::none};
         };
         const std::vector<row> rows{
             {"3,1,8", forwarding::reported_load{3, 1, 8, 1.0}},
@@ -187,16 +187,24 @@
             {"1,0,4,250", forwarding::reported_load{1, 0, 4, 2.5}},
             {"1,0,4,0", forwarding::reported_load{1, 0, 4, 1.0}},
             {"1,0,4,100,further", forwarding::reported_load{1, 0, 4, 1.0}},
-            {"1,0", std::nullopt},
-            {"1,0,x", std::nullopt},
-            {"1,0,4,", std::nullopt},
-            {"-1,0,4", std::nullopt},
+            {"1,0", std::nullopt, runtime::load_fault::too_few_figures},
+            {"1,0,x", std::nullopt, runtime::load_fault::not_a_count},
+            {"1,0,4,", std::nullopt, runtime::load_fault::not_a_count},
+            {"-1,0,4", std::nullopt, runtime::load_fault::not_a_count},
+            {"4294967296,0,4", std::nullopt, runtime::load_fault::not_a_count},
+            {"", std::nullopt, runtime::load_fault::not_a_count},
         };
         for (const row& each : rows)
         {
-            const attempt_outcome outcome = m_protocol.read_response(
-                {{200, {{"Server-Stamp", "3e.1"}, {"Server-Load", each.m_value}}, ""}, ""});
-            CPPUNIT_ASSERT(std::get<forwarding::upstream_reply>(outcome).m_load == each.m_load);
+            // a rejection carries the load as well; at 421 another process reports its own
+            for (const unsigned status : {200U, 500U, 503U, 429U, 421U})
+            {
+                const runtime::parsed_notice reading = m_protocol.read_notice(
+                    {status, {{"Not-Executed", "1"}, {"Server-Load", each.m_value}}, ""});
+                const bool is_own = status != 421;
+                CPPUNIT_ASSERT(reading.m_notice.m_load == (is_own ? each.m_load : std::nullopt));
+                CPPUNIT_ASSERT(reading.m_load_fault == (is_own ? each.m_fault : runtime::load_fault::none));
+            }
         }
     }
 
@@ -211,7 +219,7 @@
     void fields_of_a_gathered_response()
     {
         forwarding::gathered response;
-        response.m_shard_replies = {{200, {}, "", "s1", std::nullopt}, {200, {}, "", "s2", std::nullopt}};
+        response.m_shard_replies = {{200, {}, "", "s1"}, {200, {}, "", "s2"}};
         const std::vector<header_field> complete{{"Shard-Stamps", "s1, s2"}};
         CPPUNIT_ASSERT(m_protocol.gathered_fields(response) == complete);
         response.m_missing = 1;
