--- a/packages/fleet/include/teasellead/fleet/messages.hpp
+++ b/packages/fleet/include/teasellead/fleet/messages.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "teasellead/forwarding/crash_record.hpp"
+#include "teasellead/forwarding/upstream_observation.hpp"
 #include "teasellead/kernel/configuration.hpp"
 #include "teasellead/kernel/endpoint.hpp"
 #include "teasellead/kernel/upstream_evidence.hpp"
@@ -337,12 +338,31 @@
     friend bool operator==(const trial_reply&, const trial_reply&) = default;
 };
 
+/// an observation of an upstream as it is sent to other nodes
+struct observed_upstream
+{
+    forwarding::upstream_process m_process;
+    forwarding::upstream_observation m_observation;
+    std::uint32_t m_relays{0}; ///< how often it was relayed; 0 if the sender observed it itself
+
+    friend bool operator==(const observed_upstream&, const observed_upstream&) = default;
+};
+
+/// what the sender knows of upstreams that are in trouble or have just recovered
+struct observation_notice
+{
+    std::vector<observed_upstream> m_observations;
+
+    friend bool operator==(const observation_notice&, const observation_notice&) = default;
+};
+
 /// content of a message between nodes
 using peer_content =
     std::variant<hello, revision_request, revision_reply, share_request, share_grant, spare_shares,
                  evidence_notice, cold_permit_request, cold_permit_grant, quarantine_notice, forward_request,
                  forward_reply, share_return, roster_notice, token_request, token_grant, publication_request,
-                 publication_reply, bucket_request, bucket_reply, crash_notice, trial_request, trial_reply>;
+                 publication_reply, bucket_request, bucket_reply, crash_notice, trial_request, trial_reply,
+                 observation_notice>;
 
 /// a message between nodes with its sender
 struct peer_message
--- a/packages/fleet/src/peer_contents.hpp
+++ b/packages/fleet/src/peer_contents.hpp
@@ -15,6 +15,10 @@
 /// unit of NodeRecord.age on the wire
 inline constexpr std::chrono::milliseconds age_unit{250};
 
+/// units of the fractions in an UpstreamObservation on the wire
+inline constexpr double permille = 1000.0;
+inline constexpr double percent = 100.0;
+
 /*!
 @brief unpacks an address of a message
 
--- a/packages/fleet/src/put_content.cpp
+++ b/packages/fleet/src/put_content.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "peer_contents.hpp"
 
@@ -280,6 +281,34 @@
     target.set_retry_after_ms(to_wire(content.m_retry_after));
 }
 
+std::uint32_t scaled(double value, double unit)
+{
+    return static_cast<std::uint32_t>(std::lround(value * unit));
+}
+
+void put(wire::PeerMessage& wire, const observation_notice& content)
+{
+    wire::ObservationNotice& target = *wire.mutable_observation_notice();
+    for (const observed_upstream& each : content.m_observations)
+    {
+        const forwarding::upstream_observation& observed = each.m_observation;
+        wire::UpstreamObservation& added = *target.add_observations();
+        added.set_instance(each.m_process.m_instance);
+        added.set_incarnation(each.m_process.m_incarnation);
+        added.set_trouble(static_cast<std::uint32_t>(observed.m_trouble));
+        added.set_failures_permille(scaled(observed.m_failure_ratio, permille));
+        added.set_age_ms(to_wire(std::chrono::duration_cast<std::chrono::milliseconds>(observed.m_age)));
+        added.set_relays(each.m_relays);
+        if (observed.m_load)
+        {
+            added.set_running(observed.m_load->m_running);
+            added.set_waiting(observed.m_load->m_waiting);
+            added.set_slots(observed.m_load->m_slots);
+            added.set_work_percent(scaled(observed.m_load->m_work_factor, percent));
+        }
+    }
+}
+
 } // namespace
 
 void put_content(wire::PeerMessage& wire, const peer_content& content)
--- a/packages/fleet/src/take_content.cpp
+++ b/packages/fleet/src/take_content.cpp
@@ -186,6 +186,37 @@
     return result;
 }
 
+/// values out of range are kept, so that the receiver rejects only this observation
+observed_upstream take(const wire::UpstreamObservation& source)
+{
+    observed_upstream result;
+    result.m_process = {source.instance(), source.incarnation()};
+    result.m_relays = source.relays();
+    forwarding::upstream_observation& observed = result.m_observation;
+    observed.m_trouble = source.trouble() < static_cast<std::uint32_t>(forwarding::upstream_trouble::other)
+                             ? static_cast<forwarding::upstream_trouble>(source.trouble())
+                             : forwarding::upstream_trouble::other;
+    observed.m_failure_ratio = source.failures_permille() / permille;
+    observed.m_age = std::chrono::milliseconds{source.age_ms()};
+    if (source.slots() > 0)
+    {
+        observed.m_load = {source.running(), source.waiting(), source.slots(),
+                           source.work_percent() / percent};
+    }
+    return result;
+}
+
+observation_notice take(const wire::ObservationNotice& source)
+{
+    observation_notice result;
+    result.m_observations.reserve(static_cast<std::size_t>(source.observations_size()));
+    for (const wire::UpstreamObservation& each : source.observations())
+    {
+        result.m_observations.push_back(take(each));
+    }
+    return result;
+}
+
 } // namespace
 
 peer_content take_content(const wire::PeerMessage& wire)
@@ -245,6 +276,8 @@
     case wire::PeerMessage::kTrialReply:
         return trial_reply{wire.trial_reply().call(), wire.trial_reply().granted(),
                            std::chrono::milliseconds{wire.trial_reply().retry_after_ms()}};
+    case wire::PeerMessage::kObservationNotice:
+        return take(wire.observation_notice());
     case wire::PeerMessage::CONTENT_NOT_SET:
         break;
     }
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -62,6 +62,8 @@
       m_configuration_lease(platform.settings().m_max_configuration_age),
       m_cold_starts(platform.settings().m_peer_address), m_directory(platform.settings().m_data_centre),
       m_crash_exchange(platform.settings().m_peer_address, m_crashes),
+      m_observations(platform.settings().m_peer_address, data_centre_id_of(platform.settings().m_data_centre),
+                     m_directory),
       m_quotas(platform.settings().m_peer_address, platform.settings().m_account_bound,
                {data_centre_id_of(platform.settings().m_data_centre), platform.settings().m_data_centres}),
       m_members(platform.settings().m_peer_address, platform.settings().m_data_centre, incarnation,
@@ -93,8 +95,10 @@
     apply_membership(now);
     process_ended_upstreams();
     m_crash_exchange.on_tick(m_random, now);
+    append(result, m_observations.on_tick(m_random, now));
     append(result, take_messages());
     log_crashes();
+    log_observations(now);
     log_holders();
     log_freshness(now);
     return result;
@@ -131,6 +135,11 @@
                                                 m_crash_exchange.on_message(sender, content, now);
                                                 return messages{};
                                             },
+                                            [&](const observation_notice& content)
+                                            {
+                                                m_observations.on_message(sender, content, now);
+                                                return messages{};
+                                            },
                                             [&](const publication_request& content)
                                             { return messages{m_publications.on_request(sender, content)}; },
                                             [&](const publication_reply& content)
@@ -212,6 +221,7 @@
     const std::vector<endpoint> peers = m_members.peers(now);
     const std::vector<peer_status> statuses = m_members.peer_statuses(now);
     m_crash_exchange.on_members(statuses, m_is_leaving);
+    m_observations.on_members(statuses);
     m_quotas.on_members({statuses, m_members.expected_nodes(now), m_members.has_agreed(now), m_is_leaving,
                          m_members.expected_local_nodes(now)},
                         now);
@@ -258,6 +268,51 @@
     }
 }
 
+void node_state::log_observations(time_point now)
+{
+    constexpr duration end_of_trouble = std::chrono::seconds{5};
+    for (const rejected_observations& each : m_observations.take_rejected())
+    {
+        m_log.write(log_level::warning, "observations_rejected",
+                    {{"sender", each.m_sender.to_string()},
+                     {"reason", to_string(each.m_fault)},
+                     {"instance", each.m_instance},
+                     {"count", std::uint64_t{each.m_count}}});
+    }
+    const std::size_t in_trouble = m_observations.counts().m_in_trouble;
+    const bool was_in_trouble = m_trouble_seen_at.has_value();
+    if (in_trouble > 0)
+    {
+        m_trouble_seen_at = now;
+    }
+    else if (m_trouble_seen_at && now - *m_trouble_seen_at >= end_of_trouble)
+    {
+        m_trouble_seen_at.reset();
+    }
+    if (was_in_trouble != m_trouble_seen_at.has_value())
+    {
+        m_log.write(log_level::info, "upstreams_observed",
+                    {{"in_trouble", std::uint64_t{in_trouble}},
+                     {"sent", m_observations.counts().m_sent},
+                     {"received", m_observations.counts().m_received}});
+    }
+}
+
+std::string node_state::observations_exposition() const
+{
+    const exchange_counts& counts = m_observations.counts();
+    std::string rejected = "# TYPE teasellead_observations_rejected_total counter\n";
+    for (std::size_t fault = 0; fault < observation_faults; ++fault)
+    {
+        rejected.append("teasellead_observations_rejected_total{reason=\"")
+            .append(to_string(static_cast<observation_fault>(fault)))
+            .append("\"} " + std::to_string(counts.m_rejected.at(fault)) + "\n");
+    }
+    return exposition_line("teasellead_upstreams_in_trouble", "gauge", counts.m_in_trouble) +
+           exposition_line("teasellead_observations_sent_total", "counter", counts.m_sent) +
+           exposition_line("teasellead_observations_received_total", "counter", counts.m_received) + rejected;
+}
+
 void node_state::log_freshness(time_point now)
 {
     const bool is_fresh = m_configuration_lease.is_valid(now);
@@ -294,7 +349,8 @@
            exposition_line("teasellead_refused_requests", "gauge",
                            m_crashes.count(forwarding::request_restriction::refused)) +
            exposition_line("teasellead_upstreams_ended_total", "counter", m_ended_upstreams) +
-           m_publications.exposition() + "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
+           observations_exposition() + m_publications.exposition() +
+           "# TYPE teasellead_configuration_delay_milliseconds histogram\n" +
            m_configuration_delays.lines("teasellead_configuration_delay_milliseconds") +
            "# TYPE teasellead_loop_delay_milliseconds histogram\n" +
            m_loop_delays.lines("teasellead_loop_delay_milliseconds");
--- a/packages/runtime/src/node_state.hpp
+++ b/packages/runtime/src/node_state.hpp
@@ -11,6 +11,7 @@
 #include "teasellead/fleet/crash_exchange.hpp"
 #include "teasellead/fleet/quota_ledger.hpp"
 #include "teasellead/fleet/roster.hpp"
+#include "teasellead/fleet/upstream_exchange.hpp"
 #include "teasellead/forwarding/configuration_lease.hpp"
 #include "teasellead/forwarding/dispatch.hpp"
 #include "teasellead/forwarding/route_table.hpp"
@@ -36,7 +37,8 @@
 inline constexpr std::chrono::milliseconds tick_period{100};
 
 /*!
-@brief state of a node that depends on other nodes: membership, rate limits, crash records and published items
+@brief state of a node that depends on other nodes: membership, rate limits, crash records, observations of
+upstreams and published items
 
 It has no sockets of its own: messages are passed in and returned as values, so that tests can run whole
 fleets in simulated time. Not thread-safe.
@@ -149,6 +151,8 @@
     void process_ended_upstreams();
     void log_crashes();
     void log_holders();
+    void log_observations(time_point now);
+    [[nodiscard]] std::string observations_exposition() const;
     [[nodiscard]] std::size_t connection_limit(const forwarding::upstream& target) const;
 
     const monotonic_clock& m_clock;
@@ -162,6 +166,8 @@
     forwarding::upstream_directory m_directory;
     forwarding::crash_guard m_crashes;
     crash_exchange m_crash_exchange;
+    upstream_exchange m_observations;
+    std::optional<time_point> m_trouble_seen_at; ///< when upstreams were last in trouble, until that is over
     quota_ledger m_quotas;
     roster m_members;
     forwarding::dispatch_context m_dispatch_context;
--- a/tests/unit/fleet/unit-codec.cpp
+++ b/tests/unit/fleet/unit-codec.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
 #include <limits>
 
 #include "teasellead/fleet/codec.hpp"
@@ -15,6 +16,7 @@
 {
     CPPUNIT_TEST_SUITE(codec_test);
     CPPUNIT_TEST(round_trips_every_message_type);
+    CPPUNIT_TEST(reads_messages_of_newer_nodes);
     CPPUNIT_TEST(rejects_malformed_bytes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -40,6 +42,12 @@
             crash_notice{{{"abc", 3, 1, {{"read", {"i-1", 1700000000123}, true, false, true}}}}, true},
             trial_request{5, "abc", "read", true},
             trial_reply{5, true, 250ms},
+            observation_notice{},
+            observation_notice{
+                {{{"i-1", 1700000000123},
+                  {forwarding::upstream_trouble::shed, 0.625, forwarding::reported_load{4, 2, 4, 2.5}, 40ms},
+                  0},
+                 {{"", -1}, {forwarding::upstream_trouble::other, 4294967.0, std::nullopt, 1h}, UINT32_MAX}}},
         };
         for (const peer_content& content : contents)
         {
@@ -48,6 +56,20 @@
         }
     }
 
+    void reads_messages_of_newer_nodes()
+    {
+        using forwarding::upstream_trouble;
+        const auto message = [](upstream_trouble trouble)
+        {
+            return peer_message{endpoint{1, 1}, 1,
+                                observation_notice{{{{"i-1", 2}, {trouble, 0.5, std::nullopt, 1ms}, 0}}}};
+        };
+        const std::string unknown_field{"\x98\x06\x01"}; // number 99
+        const peer_message known = message(upstream_trouble::other);
+        CPPUNIT_ASSERT(decode(encode(message(static_cast<upstream_trouble>(200)))) == known);
+        CPPUNIT_ASSERT(decode(encode(known) + unknown_field) == known);
+    }
+
     void rejects_malformed_bytes()
     {
         const std::string valid = encode({endpoint{1, 1}, 1, hello{1, "north", 1, 0, 0, false, true, false}});
