--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -222,7 +222,7 @@
     [[nodiscard]] std::chrono::milliseconds until_end_of_pause(time_point now) const;
     [[nodiscard]] duration hedge_delay(const upstream_choice& choice) const;
     [[nodiscard]] bool is_overdue(const attempt_state& attempt, time_point now) const noexcept;
-    void learn_work(const attempt_state& answered, const std::optional<reported_load>& load, time_point now);
+    void learn_work(const attempt_state& answered, time_point now);
     [[nodiscard]] bool may_repeat() const noexcept
     {
         return m_request.m_repeatability == repeatability::idempotent;
--- a/packages/forwarding/include/teasellead/forwarding/dispatch_context.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch_context.hpp
@@ -29,9 +29,9 @@
     std::uint64_t m_choices{0};          ///< number of upstreams that were chosen
     std::uint64_t m_rerouted_choices{0}; ///< of these, the ones that the estimate of the work changed
     /// expected failures, for the outlook of searches
-    failure_estimate m_failure_estimate{[](const upstream& each, time_point)
+    failure_estimate m_failure_estimate{[](const upstream& each, time_point now)
                                         {
-                                            return each.failure_ratio();
+                                            return each.expected_failure_ratio(now);
                                         }};
     capacity_queue m_capacity_queue{};
     recent_priorities m_priorities{};
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -152,8 +152,8 @@
     const bool is_retryable = may_repeat() && reply.m_status >= first_server_error;
     if (is_success)
     {
-        answered.m_upstream->on_reply(answered.m_began, reply.m_load, now);
-        learn_work(answered, reply.m_load, now);
+        answered.m_upstream->on_reply(answered.m_began, now);
+        learn_work(answered, now);
     }
     else
     {
--- a/packages/forwarding/src/dispatch_work.cpp
+++ b/packages/forwarding/src/dispatch_work.cpp
@@ -37,12 +37,12 @@
     return now - attempt.m_began > expected * overdue_factor;
 }
 
-void dispatch::learn_work(const attempt_state& answered, const std::optional<reported_load>& load,
-                          time_point now)
+void dispatch::learn_work(const attempt_state& answered, time_point now)
 {
     const duration latency = now - answered.m_began;
     const completion_estimate& expected = answered.m_expected;
     const duration run = observed_run(latency, expected);
+    const auto load = answered.m_upstream->current_load(now);
     const double factor = load ? bounded_work_factor(load->m_work_factor) : expected.m_work_factor;
     const duration work = std::chrono::duration_cast<duration>(run / factor);
     const std::string& service = m_request.m_services[answered.m_sub_request];
