--- a/packages/forwarding/include/teasellead/forwarding/capacity_queue.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/capacity_queue.hpp
@@ -30,10 +30,10 @@
 /*!
 @brief the order in which attempts get capacity that becomes free at a service's upstreams
 
-Ordered by priority, then by how much the account was served recently, then by the end of the wait. Near the
-end of its wait an attempt counts as most urgent, so that urgent requests don't starve the others. The queue
-decides about the order only: waiting attempts ask @ref may_take again and again. Not safe for concurrent use
-by several threads.
+Ordered by priority, then by how much the account was served recently, then by the end of the wait. One of
+some attempts goes to those of lower priority that are near the end of their wait, so that they don't starve.
+The queue decides about the order only: waiting attempts ask @ref may_take again and again. Not safe for
+concurrent use by several threads.
 */
 class capacity_queue
 {
@@ -63,8 +63,15 @@
     [[nodiscard]] bool may_take(const std::string& service, const capacity_waiter& arrival,
                                 const upstream& free, time_point now) const;
 
-    /// counts an attempt that was made for an account
-    void on_sent(const std::string& account, time_point now);
+    /*!
+    @brief counts an attempt that was made
+
+    @param[in] service  its service
+    @param[in] account  its account; may be empty
+    @param[in] taken    its place in the queue; null if it didn't wait
+    @param[in] now      current time
+    */
+    void on_sent(const std::string& service, const std::string& account, const place* taken, time_point now);
 
     /// number of attempts that wait for a service and would precede this one
     [[nodiscard]] std::size_t ahead_of(const std::string& service, const capacity_waiter& arrival,
--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -186,9 +186,14 @@
     [[nodiscard]] capacity_waiter waiter_of(const sub_request& target, time_point now) const;
     [[nodiscard]] bool may_take(const sub_request& target, const std::string& service, const upstream& free,
                                 time_point now) const;
+    [[nodiscard]] bool has_capacity(const upstream& candidate, time_point now) const;
+    [[nodiscard]] bool is_busy(const sub_request& target, const std::string& service, time_point now) const;
+    [[nodiscard]] bool is_capacity_expected(const sub_request& target, const std::string& service,
+                                            time_point now) const;
     [[nodiscard]] bool may_wait_for_capacity(sub_request& target, const std::string& service, time_point now);
-    [[nodiscard]] std::optional<capacity_forecast>
-    forecast_for(const sub_request& target, const std::string& service, time_point now) const;
+    /// the upstreams of a service that another attempt could be sent to if they had capacity
+    [[nodiscard]] std::vector<shared_upstream> usable_for(const sub_request& target,
+                                                          const std::string& service, time_point now) const;
     [[nodiscard]] duration expected_wait(time_point now) const;
     [[nodiscard]] bool try_spend(const sub_request& target, const std::string& service, time_point now);
     [[nodiscard]] priority_standing standing_at(const std::string& service, time_point now) const;
@@ -201,7 +206,7 @@
     void end_pending(failure_reason reason);
     void release_sub_request(std::size_t index, actions& result);
     [[nodiscard]] std::optional<failure_reason> reason_not_to_search(time_point now) const;
-    [[nodiscard]] double chance_of_shard(const std::string& service, time_point now) const;
+    [[nodiscard]] double chance_of_shard(std::size_t index, time_point now) const;
     [[nodiscard]] scatter_progress progress() const;
     void conclude(time_point now, actions& result);
     void conclude_single(time_point now, actions& result);
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -47,6 +47,7 @@
     }
     if (m_request.m_scatter)
     {
+        // a search that can't reach the required coverage sends nothing
         if (const auto reason = reason_not_to_search(now))
         {
             finish(no_answer(*reason, now), result);
@@ -81,7 +82,7 @@
     }
     const auto has_capacity = [this, now](const upstream& candidate)
     {
-        return m_context->m_cold_starts.may_send(candidate, now) && m_context->m_has_capacity(candidate);
+        return this->has_capacity(candidate, now);
     };
     const auto chosen =
         m_context->m_directory.choose(service, target.m_tried, has_capacity, m_context->m_random, now);
@@ -110,6 +111,8 @@
     sub_request& target = m_sub_requests[index];
     m_is_trial_active = m_is_trial_active || is_trial;
     target.m_is_waiting = false;
+    m_context->m_capacity_queue.on_sent(m_request.m_services[index], m_request.m_account,
+                                        target.m_place ? &*target.m_place : nullptr, now);
     target.m_place.reset();
     target.m_tried.push_back(selected);
     ++target.m_sent;
@@ -118,7 +121,6 @@
     m_attempts.push_back({index, selected, now, is_trial});
     selected->on_start(now);
     m_context->m_cold_starts.on_send(*selected, now);
-    m_context->m_capacity_queue.on_sent(m_request.m_account, now);
     result.emplace_back(send_attempt{m_attempts.size() - 1, selected});
 }
 
--- a/packages/forwarding/src/dispatch_result.cpp
+++ b/packages/forwarding/src/dispatch_result.cpp
@@ -132,7 +132,7 @@
         reason == failure_reason::overloaded || reason == failure_reason::unlikely_whole;
     return_conditions conditions;
     conditions.m_base = is_temporary ? busy_retry_after : unreachable_retry_after;
-    conditions.m_expected_wait = expected_wait(now);
+    conditions.m_expected_wait = reason == failure_reason::overloaded ? expected_wait(now) : duration::zero();
     conditions.m_more_urgent = standing_at(m_request.m_services.front(), now).m_more_urgent;
     conditions.m_time_left = m_request.m_response_deadline - now;
     return unanswered{reason, current_verdict(), retry_after_of(conditions, m_context->m_random)};
--- a/packages/forwarding/src/dispatch_search.cpp
+++ b/packages/forwarding/src/dispatch_search.cpp
@@ -6,10 +6,13 @@
 namespace teasellead::forwarding
 {
 
-double dispatch::chance_of_shard(const std::string& service, time_point now) const
+double dispatch::chance_of_shard(std::size_t index, time_point now) const
 {
-    const std::vector<shared_upstream> usable = m_context->m_directory.candidates(service, now);
-    if (usable.empty())
+    const std::string& service = m_request.m_services[index];
+    const sub_request& target = m_sub_requests[index];
+    const std::vector<shared_upstream> usable = usable_for(target, service, now);
+    const bool is_hopeless = is_busy(target, service, now) && !is_capacity_expected(target, service, now);
+    if (usable.empty() || is_hopeless)
     {
         return 0.0;
     }
@@ -26,18 +29,26 @@
 
 std::optional<failure_reason> dispatch::reason_not_to_search(time_point now) const
 {
+    const std::vector<std::string>& services = m_request.m_services;
     std::vector<double> chances;
-    std::transform(m_request.m_services.begin(), m_request.m_services.end(), std::back_inserter(chances),
-                   [this, now](const std::string& service) { return chance_of_shard(service, now); });
-    const auto reachable = static_cast<std::size_t>(
-        std::count_if(chances.begin(), chances.end(), [](double chance) { return chance > 0.0; }));
+    for (std::size_t i = 0; i < services.size(); ++i)
+    {
+        chances.push_back(chance_of_shard(i, now));
+    }
     const std::size_t needed = progress().needed();
-    if (reachable < needed)
+    const auto reachable =
+        std::count_if(chances.begin(), chances.end(), [](double chance) { return chance > 0.0; });
+    if (static_cast<std::size_t>(reachable) < needed)
     {
+        const auto usable = std::count_if(services.begin(), services.end(),
+                                          [this, now](const std::string& service)
+                                          { return m_context->m_directory.has_candidates(service, now); });
         const bool is_paused = until_end_of_pause(now) > std::chrono::milliseconds::zero();
-        return is_paused ? failure_reason::upstreams_paused : failure_reason::no_upstream;
+        const failure_reason unusable =
+            is_paused ? failure_reason::upstreams_paused : failure_reason::no_upstream;
+        return static_cast<std::size_t>(usable) < needed ? unusable : failure_reason::overloaded;
     }
-    const bool is_most_urgent = standing_at(m_request.m_services.front(), now).m_more_urgent == 0;
+    const bool is_most_urgent = standing_at(services.front(), now).m_more_urgent == 0;
     const search_decision decision =
         m_context->m_outlook.decide(chances, needed, is_most_urgent, m_context->m_random);
     return decision == search_decision::refuse ? std::optional{failure_reason::unlikely_whole} : std::nullopt;
--- a/packages/forwarding/src/dispatch_waiting.cpp
+++ b/packages/forwarding/src/dispatch_waiting.cpp
@@ -49,14 +49,43 @@
            queue.may_take(service, waiter_of(target, now), free, now);
 }
 
-std::optional<capacity_forecast> dispatch::forecast_for(const sub_request& target, const std::string& service,
-                                                        time_point now) const
+std::vector<shared_upstream> dispatch::usable_for(const sub_request& target, const std::string& service,
+                                                  time_point now) const
 {
-    std::vector<shared_upstream> usable = m_context->m_directory.candidates(service, now);
-    std::erase_if(
-        usable, [&target](const shared_upstream& each)
-        { return std::find(target.m_tried.begin(), target.m_tried.end(), each) != target.m_tried.end(); });
-    return capacity_forecast::of(usable);
+    std::vector<shared_upstream> result = m_context->m_directory.candidates(service, now);
+    const auto is_tried = [&target](const shared_upstream& each)
+    {
+        return std::find(target.m_tried.begin(), target.m_tried.end(), each) != target.m_tried.end();
+    };
+    std::erase_if(result, is_tried);
+    return result;
+}
+
+bool dispatch::has_capacity(const upstream& candidate, time_point now) const
+{
+    return m_context->m_cold_starts.may_send(candidate, now) && m_context->m_has_capacity(candidate);
+}
+
+bool dispatch::is_busy(const sub_request& target, const std::string& service, time_point now) const
+{
+    const std::vector<shared_upstream> usable = usable_for(target, service, now);
+    return std::none_of(usable.begin(), usable.end(),
+                        [this, now](const shared_upstream& each)
+                        { return each->is_below_ramp_up_limit(now) && has_capacity(*each, now); });
+}
+
+bool dispatch::is_capacity_expected(const sub_request& target, const std::string& service,
+                                    time_point now) const
+{
+    const auto forecast = capacity_forecast::of(usable_for(target, service, now));
+    if (!forecast)
+    {
+        return true;
+    }
+    const std::size_t ahead =
+        target.m_place ? target.m_place->ahead(now)
+                       : m_context->m_capacity_queue.ahead_of(service, waiter_of(target, now), now);
+    return forecast->chance(ahead + 1, m_capacity_wait_end - now) >= min_wait_chance;
 }
 
 bool dispatch::may_wait_for_capacity(sub_request& target, const std::string& service, time_point now)
@@ -65,18 +94,14 @@
     {
         return false;
     }
-    capacity_queue& queue = m_context->m_capacity_queue;
-    const std::size_t ahead =
-        target.m_place ? target.m_place->ahead(now) : queue.ahead_of(service, waiter_of(target, now), now);
-    const auto forecast = forecast_for(target, service, now);
-    if (forecast && forecast->chance(ahead + 1, m_capacity_wait_end - now) < min_wait_chance)
+    if (!is_capacity_expected(target, service, now))
     {
         ++m_context->m_statistics.m_refused_by_forecast;
         return false;
     }
     if (!target.m_place)
     {
-        target.m_place = queue.join(service, waiter_of(target, now), now);
+        target.m_place = m_context->m_capacity_queue.join(service, waiter_of(target, now), now);
     }
     return target.m_place.has_value();
 }
@@ -88,11 +113,11 @@
     {
         const sub_request& each = m_sub_requests[i];
         const std::string& service = m_request.m_services[i];
-        if (each.m_state != sub_request_state::missing || each.m_reason != failure_reason::overloaded)
+        if (each.m_state == sub_request_state::answered || !is_busy(each, service, now))
         {
             continue;
         }
-        if (const auto forecast = forecast_for(each, service, now))
+        if (const auto forecast = capacity_forecast::of(usable_for(each, service, now)))
         {
             const std::size_t waiting = m_context->m_capacity_queue.size(service);
             result = std::max(result, forecast->expected_wait(waiting + 1));
--- a/tests/unit/forwarding/unit-capacity-queue.cpp
+++ b/tests/unit/forwarding/unit-capacity-queue.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(full_queue_drops_the_last);
     CPPUNIT_TEST(places_end_with_their_objects);
     CPPUNIT_TEST(tried_upstream_is_left_to_others);
+    CPPUNIT_TEST(overload_starves_nobody);
     CPPUNIT_TEST(forecast_of_free_capacity);
     CPPUNIT_TEST_SUITE_END();
 
@@ -36,27 +38,33 @@
             capacity_waiter m_left;
             capacity_waiter m_right;
             duration m_after; ///< time of the decision
+            int m_sent;       ///< number of attempts made until then
             bool m_is_left_first;
         };
         const std::vector<row> rows{
-            {"urgent search behind a batch", waiter(2, "", 100ms), waiter(0, "", 100ms), 10ms, false},
-            {"one priority, no accounts", waiter(0, "", 30ms), waiter(0, "", 20ms), 10ms, false},
-            {"equal in all", waiter(0, "", 30ms), waiter(0, "", 30ms), 10ms, true},
-            {"account with many requests", waiter(1, "busy", 20ms), waiter(1, "calm", 30ms), 1ms, false},
-            {"priority before accounts", waiter(0, "busy", 30ms), waiter(1, "calm", 30ms), 1ms, true},
-            {"batch that has nearly waited enough", waiter(2, "", 100ms), waiter(0, "", 200ms), 80ms, true},
-            {"waiter whose time is over", waiter(0, "", 20ms), waiter(1, "", 90ms), 20ms, false},
+            {"urgent search behind a batch", waiter(2, "", 100ms), waiter(0, "", 100ms), 10ms, 0, false},
+            {"one priority, no accounts", waiter(0, "", 30ms), waiter(0, "", 20ms), 10ms, 0, false},
+            {"equal in all", waiter(0, "", 30ms), waiter(0, "", 30ms), 10ms, 0, true},
+            {"account with many requests", waiter(1, "busy", 20ms), waiter(1, "calm", 30ms), 1ms, 0, false},
+            {"priority before accounts", waiter(0, "busy", 30ms), waiter(1, "calm", 30ms), 1ms, 0, true},
+            {"batch that has nearly waited enough", waiter(2, "", 100ms), waiter(0, "", 200ms), 80ms, 3,
+             true},
+            {"late batch after another", waiter(2, "", 100ms), waiter(0, "", 200ms), 80ms, 2, false},
+            {"batch that isn't late", waiter(2, "", 100ms), waiter(0, "", 200ms), 70ms, 3, false},
+            {"one priority, long and short waits", waiter(1, "", 100ms), waiter(1, "", 95ms), 90ms, 3, false},
+            {"waiter whose time is over", waiter(0, "", 20ms), waiter(1, "", 90ms), 20ms, 0, false},
         };
         for (const row& each : rows)
         {
             capacity_queue queue;
             for (int sent = 0; sent < 5; ++sent)
             {
-                queue.on_sent("busy", start);
+                queue.on_sent("b", "busy", nullptr, start);
             }
             const auto left = queue.join("a", each.m_left, start);
             const auto right = queue.join("a", each.m_right, start);
             const time_point now = start + each.m_after;
+            send(queue, each.m_sent, now);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_load, !each.m_is_left_first,
                                          right->may_take(*m_upstream, now));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_load, each.m_is_left_first ? 1UL : 0UL,
@@ -79,6 +87,7 @@
             capacity_queue queue;
             const auto place = queue.join("a", waiter(each.m_waiting, "", 100ms), start);
             const time_point now = start + each.m_after;
+            send(queue, 3, now);
             const capacity_waiter arrival = waiter(each.m_arriving, "", 200ms);
             CPPUNIT_ASSERT_EQUAL(each.m_may_take, queue.may_take("a", arrival, *m_upstream, now));
             CPPUNIT_ASSERT(queue.may_take("b", arrival, *m_upstream, now));
@@ -131,6 +140,47 @@
         CPPUNIT_ASSERT(first->may_take(*m_other, start));
     }
 
+    // more urgent requests than there is capacity, beside a batch: in 10 s, one attempt can be made each 5 ms
+    void overload_starves_nobody()
+    {
+        struct held_place
+        {
+            bool m_is_urgent;
+            time_point m_until;
+            capacity_queue::place m_place;
+        };
+        capacity_queue queue;
+        std::vector<held_place> waiting;
+        std::size_t urgent = 0;
+        std::size_t batch = 0;
+        for (time_point now = start; now < start + 10s; now += 1ms)
+        {
+            const auto tick = (now - start) / 1ms;
+            std::erase_if(waiting, [now](const held_place& each) { return now >= each.m_until; });
+            for (const bool is_urgent : {true, false})
+            {
+                const duration wait = is_urgent ? 11ms : 220ms;
+                if (tick % (is_urgent ? 2 : 50) == 0)
+                {
+                    auto place = queue.join("a", {is_urgent ? 0U : 2U, {}, now, now + wait}, now);
+                    waiting.push_back({is_urgent, now + wait, std::move(*place)});
+                }
+            }
+            const auto first = std::find_if(waiting.begin(), waiting.end(),
+                                            [this, now](const held_place& each)
+                                            { return each.m_place.may_take(*m_upstream, now); });
+            if (tick % 5 == 0 && first != waiting.end())
+            {
+                ++(first->m_is_urgent ? urgent : batch);
+                queue.on_sent("a", "", &first->m_place, now);
+                waiting.erase(first);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2000}, urgent + batch);
+        // 200 of the batch were to be made
+        CPPUNIT_ASSERT(batch > 150);
+    }
+
     void forecast_of_free_capacity()
     {
         struct row
@@ -172,6 +222,15 @@
     }
 
   private:
+    /// makes attempts that didn't wait
+    static void send(capacity_queue& queue, int attempts, time_point now)
+    {
+        for (int i = 0; i < attempts; ++i)
+        {
+            queue.on_sent("a", "", nullptr, now);
+        }
+    }
+
     static capacity_waiter waiter(std::uint32_t priority, std::string account, duration wait)
     {
         return {priority, std::move(account), start, start + wait};
--- a/tests/unit/forwarding/unit-dispatch-capacity.cpp
+++ b/tests/unit/forwarding/unit-dispatch-capacity.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(freed_capacity_goes_to_the_most_urgent);
     CPPUNIT_TEST(waiters_leave_the_queue_however_they_end);
     CPPUNIT_TEST(nobody_waits_for_capacity_that_comes_too_late);
+    CPPUNIT_TEST(search_over_busy_shards_sends_nothing);
     CPPUNIT_TEST(hedge_gives_way_to_waiters);
     CPPUNIT_TEST(hopeless_search_releases_its_attempts);
     CPPUNIT_TEST(search_over_failing_shards_is_refused_or_a_probe);
@@ -111,6 +112,32 @@
         }
     }
 
+    // the only upstream of a shard is busy for seconds, the others are free
+    void search_over_busy_shards_sends_nothing()
+    {
+        for (const double min_coverage : {0.5, 1.0})
+        {
+            dispatch_fixture fixture{{"a", "b"}, 1};
+            fixture.m_context.m_has_capacity = [](const upstream& each)
+            {
+                return each.entry().m_service == "b" || each.in_flight() == 0;
+            };
+            dispatch before = fixture.single(repeatability::idempotent);
+            (void)before.start(dispatch_start - 5s);
+            (void)before.on_reply(0, reply_of(200), dispatch_start);
+            dispatch running = fixture.single(repeatability::idempotent);
+            (void)running.start(dispatch_start);
+            dispatch search = fixture.over_shards({"b", "a"}, min_coverage);
+            const std::size_t sent = sends_of(search.start(dispatch_start)).size();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{min_coverage < 1.0 ? 1U : 0U}, sent);
+            if (sent == 0)
+            {
+                CPPUNIT_ASSERT(unanswered_of(search).m_reason == failure_reason::overloaded);
+                CPPUNIT_ASSERT(unanswered_of(search).m_verdict == verdict::not_run);
+            }
+        }
+    }
+
     void hedge_gives_way_to_waiters()
     {
         for (const bool is_contended : {false, true})
