--- a/packages/ctl/include/teasellead/ctl/commands.hpp
+++ b/packages/ctl/include/teasellead/ctl/commands.hpp
@@ -75,6 +75,15 @@
 */
 [[nodiscard]] exit_code run_explain(const command_arguments& arguments, std::ostream& output);
 
+/*!
+@brief `where IP:PORT HOST PATH [ACCOUNT]`: prints where a node would send a request now, without sending it
+
+@return @ref exit_code::failure if the node doesn't answer or has no such route
+
+@throw settings_error 206 if the address is malformed
+*/
+[[nodiscard]] exit_code run_where(const command_arguments& arguments, std::ostream& output);
+
 /*!
 @brief `report IP:PORT...`: reads and prints the reports of nodes
 
--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -20,6 +20,9 @@
   fleet-key                    generates the key pair of a fleet: prints two environment variables
   replay TRACE...              replays traces of decisions and compares the outcomes with the expected ones
   explain ID LOG...            describes how a request ended, from the logs of nodes on the platform
+  where IP:PORT HOST PATH [ACCOUNT]
+                               prints where a node on the platform would send a GET request now, and why,
+                               without sending it; IP:PORT is the address of the node's metrics
   report IP:PORT...            prints problems, routes, client accounts and upstreams of a fleet; the
                                arguments are the operator addresses of its nodes
 )";
@@ -40,6 +43,7 @@
                               command{"fleet-key", 0, 0, run_fleet_key},
                               command{"replay", 1, any_number, run_replay},
                               command{"explain", 2, any_number, run_explain},
+                              command{"where", 3, 4, run_where},
                               command{"report", 1, any_number, run_report}};
 
 exit_code dispatch(const command_arguments& arguments, std::ostream& output, std::ostream& errors)
--- /dev/null
+++ b/packages/ctl/src/where_command.cpp
@@ -0,0 +1,72 @@
+#include <array>
+#include <cctype>
+#include <ostream>
+
+#include "teasellead/ctl/commands.hpp"
+#include "teasellead/entry/http_client.hpp"
+#include "teasellead/kernel/exceptions.hpp"
+
+namespace teasellead
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds answer_timeout{3'000};
+constexpr unsigned status_ok = 200;
+
+endpoint parse_node(const std::string& argument)
+{
+    constexpr int invalid_address_id = 206;
+    try
+    {
+        return endpoint::parse(argument);
+    }
+    catch (const protocol_error&)
+    {
+        throw settings_error(invalid_address_id,
+                             "operator address \"" + argument + "\" isn't an IP number with a port");
+    }
+}
+
+/// the value with all bytes but letters and digits percent-encoded
+std::string encoded(const std::string& value)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr unsigned base = 16;
+    std::string result;
+    for (const char each : value)
+    {
+        const auto code = static_cast<unsigned char>(each);
+        if (std::isalnum(code) != 0)
+        {
+            result.push_back(each);
+            continue;
+        }
+        result += {'%', digits[code / base], digits[code % base]};
+    }
+    return result;
+}
+
+} // namespace
+
+exit_code run_where(const command_arguments& arguments, std::ostream& output)
+{
+    constexpr std::size_t account_index = 3;
+    http_client client{parse_node(arguments[0])};
+    std::string target = "/explain?host=" + encoded(arguments[1]) + "&path=" + encoded(arguments[2]);
+    if (arguments.size() > account_index)
+    {
+        target += "&account=" + encoded(arguments[account_index]);
+    }
+    const std::optional<runtime::http_response> response = client.get(target, answer_timeout);
+    if (!response)
+    {
+        output << "no answer\n";
+        return exit_code::failure;
+    }
+    output << response->m_body;
+    return response->m_status == status_ok ? exit_code::ok : exit_code::failure;
+}
+
+} // namespace teasellead
--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -59,6 +59,31 @@
     friend bool operator==(const upstream_choice&, const upstream_choice&) = default;
 };
 
+/// whether an upstream could get a new attempt now, or why not
+enum class candidate_state
+{
+    usable,
+    leaving,    ///< its entry or its process says that it is draining
+    evacuated,  ///< its data centre gets no new attempts
+    ejected,    ///< its attempts failed
+    paused,     ///< it has requested a pause
+    ramping_up, ///< its pause has just ended
+    full        ///< this node may not open another connection to it
+};
+
+/// the name of a state in operators' output
+[[nodiscard]] std::string_view to_string(candidate_state state) noexcept;
+
+/// an upstream as a request would find it
+struct upstream_candidate
+{
+    shared_upstream m_upstream;
+    candidate_state m_state{candidate_state::usable};
+    completion_estimate m_expected;
+
+    friend bool operator==(const upstream_candidate&, const upstream_candidate&) = default;
+};
+
 /*!
 @brief the upstreams that are published in the deployment's store, by service
 
@@ -152,6 +177,18 @@
     [[nodiscard]] std::optional<completion_estimate>
     expected_wait(const std::string& service, const work_estimate& work, time_point now) const;
 
+    /*!
+    @brief lists the upstreams of a service for a request, without sending it
+
+    @return the usable ones first, ordered by their expected completion without the random addition
+
+    @complexity as @ref choose, and for sorting
+    */
+    [[nodiscard]] std::vector<upstream_candidate> candidates(const std::string& service,
+                                                             const work_estimate& work,
+                                                             const capacity_check& has_capacity,
+                                                             time_point now) const;
+
     /// learns the network distance from the latency of a successful attempt
     void on_latency(const upstream& from, duration latency)
     {
@@ -183,6 +220,8 @@
         time_point m_paused_until{};
     };
 
+    [[nodiscard]] candidate_state state_of(const upstream& candidate, const capacity_check& has_capacity,
+                                           time_point now) const;
     /// whether a later version of the entry has been applied
     [[nodiscard]] bool is_outdated(const upstream_entry& entry) const;
     void insert(const upstream_entry& entry, time_point now);
--- a/packages/runtime/src/node_state.hpp
+++ b/packages/runtime/src/node_state.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "explain_request.hpp"
 #include "publication_agent.hpp"
 #include "teasellead/fleet/crash_exchange.hpp"
 #include "teasellead/fleet/quota_ledger.hpp"
@@ -138,6 +139,12 @@
         return m_dispatch_context;
     }
 
+    /// answers where a request would go now; see @ref explain_request
+    [[nodiscard]] http_response explain(std::string_view query) const
+    {
+        return explain_request(query, m_table, m_dispatch_context, m_clock.now());
+    }
+
     /// gauges and counters in the Prometheus text exposition format
     [[nodiscard]] std::string exposition() const;
 
--- a/packages/runtime/src/operator_interface.cpp
+++ b/packages/runtime/src/operator_interface.cpp
@@ -1,8 +1,11 @@
 #include "operator_interface.hpp"
 
+#include <algorithm>
 #include <sstream>
 #include <string_view>
 
+#include "explain_request.hpp"
+
 namespace teasellead::runtime
 {
 
@@ -64,12 +67,19 @@
 
 bool is_operator_request(const http_request& request) noexcept
 {
-    return std::string_view{request.m_target}.starts_with(requests_target);
+    const std::string_view target = request.m_target;
+    return target.starts_with(requests_target) || target.starts_with(explain_target);
 }
 
 http_response handle_operator_request(const http_request& request, node_state& state)
 {
     const std::string_view target = request.m_target;
+    if (target.starts_with(explain_target))
+    {
+        const std::size_t path_end = std::min(target.find('?'), target.size());
+        const std::string_view query = target.substr(std::min(path_end + 1, target.size()));
+        return request.m_method == "GET" ? state.explain(query) : text_response(method_not_allowed, {});
+    }
     if (target == requests_target)
     {
         return request.m_method == "GET" ? list_requests(state) : text_response(method_not_allowed, {});
--- a/packages/runtime/src/operator_interface.hpp
+++ b/packages/runtime/src/operator_interface.hpp
@@ -7,10 +7,11 @@
 {
 
 /*!
-@brief handles an operator's HTTP request about requests that may crash upstreams
+@brief handles an operator's HTTP request
 
 `GET /requests` lists the isolated and refused requests; `POST /requests/DIGITS/lift` lifts the restriction of
-those whose fingerprint begins with the digits, at all nodes.
+those whose fingerprint begins with the digits, at all nodes. `GET /explain` answers where a request would go,
+see @ref explain_request.
 
 @param[in] request  the operator's HTTP request
 @param[in] state    state of the node
--- a/tests/unit/ctl/unit-command-line.cpp
+++ b/tests/unit/ctl/unit-command-line.cpp
@@ -41,6 +41,8 @@
              "file \"/nonexistent/file\" can't be read"},
             {{"key", "an id", "account"}, exit_code::failure, "key id \"an id\""},
             {{"fleet-key", "x"}, exit_code::usage, "wrong number of arguments for \"fleet-key\""},
+            {{"where", "127.0.0.1:1", "host"}, exit_code::usage, "wrong number of arguments for \"where\""},
+            {{"where", "localhost:1", "host", "/"}, exit_code::usage, "operator address \"localhost:1\""},
             {{"report"}, exit_code::usage, "wrong number of arguments for \"report\""},
             {{"report", "localhost:1"}, exit_code::usage, "operator address \"localhost:1\""}};
         for (const row& row : rows)
--- a/tests/unit/forwarding/unit-expected-completion.cpp
+++ b/tests/unit/forwarding/unit-expected-completion.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(prefers_the_upstream_that_will_answer_first);
     CPPUNIT_TEST(stays_bounded_whatever_is_reported);
     CPPUNIT_TEST(low_work_factor_draws_no_requests);
+    CPPUNIT_TEST(choice_that_the_work_changed_is_marked);
     CPPUNIT_TEST(distance_is_learned_from_replies);
     CPPUNIT_TEST(mixed_work_waits_less_than_by_mean_latency);
     CPPUNIT_TEST_SUITE_END();
@@ -180,6 +181,24 @@
         }
     }
 
+    /// the first upstream has one attempt, the second has two of 1 ms
+    void choice_that_the_work_changed_is_marked()
+    {
+        for (const duration first : {duration{1ms}, duration{120ms}})
+        {
+            dispatch_fixture fixture{{"a"}};
+            const auto found = fixture.m_directory.candidates("a", usual_work, has_room, start);
+            for (const upstream_candidate& each : found)
+            {
+                const bool is_first = each.m_upstream->entry().m_instance == "a-0";
+                add_attempts(*each.m_upstream, is_first ? 1 : 2, is_first ? first : 1ms);
+            }
+            const auto result =
+                fixture.m_directory.choose("a", usual_work, {}, has_room, fixture.m_random, start);
+            CPPUNIT_ASSERT_EQUAL(first > 100ms, std::get<upstream_choice>(result).m_is_rerouted);
+        }
+    }
+
     void distance_is_learned_from_replies()
     {
         network_distance distances{"north"};
@@ -217,6 +236,11 @@
     }
 
   private:
+    static bool has_room(const upstream&)
+    {
+        return true;
+    }
+
     struct waits
     {
         double m_mean{0.0};
