--- a/tests/unit/forwarding/unit-upstream.cpp
+++ b/tests/unit/forwarding/unit-upstream.cpp
@@ -23,6 +23,7 @@
 {
     CPPUNIT_TEST_SUITE(upstream_test);
     CPPUNIT_TEST(reported_figures_are_bounded);
+    CPPUNIT_TEST(notice_of_any_response_carries_the_load);
     CPPUNIT_TEST(load_of_a_peer_is_used_while_the_own_is_unknown);
     CPPUNIT_TEST(failures_that_peers_report_raise_the_expectation);
     CPPUNIT_TEST(own_attempts_go_before_peers);
@@ -53,6 +54,18 @@
         }
     }
 
+    void notice_of_any_response_carries_the_load()
+    {
+        dispatch_fixture fixture{{"a"}};
+        const shared_upstream target = fixture.m_directory.find("a-0");
+        fixture.m_directory.on_notice(*target, {false, std::nullopt, reported_load{2, 1, 3, 1.5}}, start);
+        CPPUNIT_ASSERT((target->current_load(start) == reported_load{2, 1, 3, 1.5}));
+        // a response without a report doesn't change it
+        fixture.m_directory.on_notice(*target, {}, start);
+        CPPUNIT_ASSERT(target->reports_load());
+        CPPUNIT_ASSERT(!fixture.m_directory.find("a-1")->reports_load());
+    }
+
     void load_of_a_peer_is_used_while_the_own_is_unknown()
     {
         const reported_load busy{3, 3, 3, 4.0};
--- a/tests/unit/runtime/unit-request-log.cpp
+++ b/tests/unit/runtime/unit-request-log.cpp
@@ -27,6 +27,7 @@
 {
     CPPUNIT_TEST_SUITE(request_log_test);
     CPPUNIT_TEST(counts_attempts_by_service_and_result);
+    CPPUNIT_TEST(counts_unreadable_loads_by_reason);
     CPPUNIT_TEST(labels_are_bounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -42,6 +43,19 @@
         CPPUNIT_ASSERT(text.find(name + "\"broken\"} 1\n") != std::string::npos);
     }
 
+    void counts_unreadable_loads_by_reason()
+    {
+        for (const char* instance : {"i-1", "i-1", "i-2"})
+        {
+            m_requests.count_unreadable_load(instance, "not_a_count");
+        }
+        m_requests.count_unreadable_load("i-1", "too_few_figures");
+        const std::string text = m_requests.exposition();
+        const std::string name = "teasellead_unreadable_loads_total{reason=";
+        CPPUNIT_ASSERT(text.find(name + "\"not_a_count\"} 3\n") != std::string::npos);
+        CPPUNIT_ASSERT(text.find(name + "\"too_few_figures\"} 1\n") != std::string::npos);
+    }
+
     /// guards against metrics output that grows with the number of names in the configuration
     void labels_are_bounded()
     {
