--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -98,6 +98,12 @@
     m_route_timeout = timeout;
 }
 
+void platform_fleet::set_limits(unsigned memory_mb, unsigned max_descriptors)
+{
+    m_memory_mb = memory_mb;
+    m_max_descriptors = max_descriptors;
+}
+
 std::vector<standin_upstream*> platform_fleet::single_upstreams() const
 {
     std::vector<standin_upstream*> result;
@@ -194,6 +200,7 @@
           {"quotaWindowS", 5},
           {"quotaOverage", 0.25},
           {"quotaSlack", 5}}},
+        {"limits", {{"memoryMb", m_memory_mb}, {"maxFds", m_max_descriptors}}},
         {"platform", {{"address", address(store_host, 8361)}}}}
         .dump();
 }
--- a/tests/support/platform_fleet.hpp
+++ b/tests/support/platform_fleet.hpp
@@ -37,6 +37,9 @@
     /// sets the timeout of all routes in configurations that are published later
     void set_route_timeout(std::chrono::milliseconds timeout);
 
+    /// sets the memory in MB and the file descriptors that nodes which are started later may use
+    void set_limits(unsigned memory_mb, unsigned max_descriptors);
+
     /// starts node `n` and waits until it is ready
     void start_node(unsigned number);
 
@@ -115,6 +118,8 @@
     std::string m_directory;
     std::chrono::seconds m_grace_period{6};
     std::chrono::milliseconds m_route_timeout{1000};
+    unsigned m_memory_mb{256};
+    unsigned m_max_descriptors{4096};
     runtime::loop_thread m_thread;
     std::unique_ptr<standin_store> m_store;
     std::vector<std::unique_ptr<standin_upstream>> m_upstreams;
--- a/tests/support/standin_upstream.cpp
+++ b/tests/support/standin_upstream.cpp
@@ -107,10 +107,14 @@
     return record;
 }
 
-http_response standin_upstream::reply(const std::string& request_id) const
+http_response standin_upstream::reply(const std::string& request_id, const std::string& target) const
 {
     http_response answer{
         ok, {{"Request-Id", request_id}, {"Server-Stamp", m_instance + "/" + request_id}}, record()};
+    if (target.find("long") != std::string::npos)
+    {
+        answer.m_body.resize(m_behaviour.m_long_body, '.');
+    }
     if (m_behaviour.m_says_leaving)
     {
         answer.m_fields.push_back({"Server-Leaving", "1"});
@@ -167,12 +171,13 @@
     const std::string answered = m_behaviour.m_answers_for_another ? "another" : request_id;
     const auto timer = std::make_shared<runtime::asio::steady_timer>(m_thread.loop(), m_behaviour.m_work);
     timer->async_wait(
-        [this, respond, answered, timer, life = m_life](const boost::system::error_code& error)
+        [this, respond, answered, target = request.m_target, timer,
+         life = m_life](const boost::system::error_code& error)
         {
             // the connections of an earlier process are closed
             if (!error && life == m_life)
             {
-                respond(reply(answered));
+                respond(reply(answered, target));
             }
         });
     return [timer]
--- a/tests/support/standin_upstream.hpp
+++ b/tests/support/standin_upstream.hpp
@@ -46,6 +46,7 @@
     bool m_answers_for_another{false};    ///< the reply carries another request's id
     bool m_says_leaving{false};           ///< announces in its replies that it is leaving
     std::chrono::milliseconds m_pause{0}; ///< refuses requests with this Retry-After
+    std::size_t m_long_body{0};           ///< size of the reply to targets that contain `long`, in bytes
     std::string m_crash_target{};         ///< a request with this target crashes the process
     std::chrono::milliseconds m_restart_time{1000};
     /// called on the event loop's thread when the process has started again
@@ -95,7 +96,8 @@
   private:
     runtime::disconnect_callback take(const runtime::http_request& request,
                                       const runtime::respond_function& respond);
-    [[nodiscard]] runtime::http_response reply(const std::string& request_id) const;
+    [[nodiscard]] runtime::http_response reply(const std::string& request_id,
+                                               const std::string& target) const;
     [[nodiscard]] runtime::http_response refusal() const;
     void listen();
     void crash();
