--- a/packages/runtime/include/teasellead/runtime/caller_server.hpp
+++ b/packages/runtime/include/teasellead/runtime/caller_server.hpp
@@ -2,12 +2,15 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
 #include "teasellead/forwarding/route.hpp"
 #include "teasellead/runtime/asio.hpp"
+#include "teasellead/runtime/connection_eviction.hpp"
 #include "teasellead/runtime/http_message.hpp"
 
 namespace teasellead::runtime
@@ -29,6 +32,32 @@
 
 class caller_session;
 
+/// why a server closes a caller's connection to stay within its limits
+enum class eviction_reason
+{
+    slow_reader, ///< the caller's response occupied the memory for responses for the longest
+    slow_sender, ///< the caller's request occupied the memory for requests for the longest
+    surplus      ///< there were too many connections
+};
+
+/// a connection that a server closed to stay within its limits
+struct eviction
+{
+    eviction_reason m_reason{eviction_reason::surplus};
+    connection_load m_load; ///< of the connection when it was closed
+
+    friend bool operator==(const eviction&, const eviction&) = default;
+};
+
+/// limits of what the connections of a server hold together
+struct connection_limits
+{
+    const monotonic_clock& m_clock;          ///< must outlive the server
+    std::shared_ptr<memory_budget> m_budget; ///< of requests and responses; no limit if null
+    std::size_t m_max_connections{std::numeric_limits<std::size_t>::max()};
+    std::function<void(const eviction&)> m_on_eviction; ///< may be empty
+};
+
 /*!
 @brief HTTP server that handles one request at a time on each connection
 
@@ -61,6 +90,15 @@
         m_make_rejection = std::move(make_response);
     }
 
+    /*!
+    @brief sets the limits of what connections that are accepted later hold together; without them there are
+    none
+
+    A connection over a limit makes the server close another one, or itself; see @ref heaviest_connection and
+    @ref most_dispensable_connection.
+    */
+    void limit_connections(connection_limits limits);
+
     /// adds `Connection: close` to each response from now on
     void announce_close();
 
@@ -83,6 +121,13 @@
     friend class caller_session;
 
     void accept();
+    void admit(tcp::socket socket);
+    [[nodiscard]] bool make_room();
+    void evict(caller_session& session, eviction_reason reason);
+    /// closes connections until the limit of a use is kept or none may be closed
+    void relieve(memory_use use);
+    /// time of the activities of connections; without limits it stands still
+    [[nodiscard]] time_point now() const;
     /// a copy, since a session that ends removes itself from the set
     [[nodiscard]] std::vector<std::shared_ptr<caller_session>> open_sessions() const;
 
@@ -92,6 +137,7 @@
     http_handler m_handler;
     std::function<http_response(unsigned)> m_make_rejection;
     forwarding::caller_limits m_limits;
+    std::optional<connection_limits> m_connection_limits;
     bool m_is_closing{false};
     std::size_t m_in_flight{0};
     std::set<std::shared_ptr<caller_session>> m_sessions;
--- a/packages/runtime/include/teasellead/runtime/client_connection.hpp
+++ b/packages/runtime/include/teasellead/runtime/client_connection.hpp
@@ -14,7 +14,7 @@
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/runtime/asio.hpp"
 #include "teasellead/runtime/http_message.hpp"
-#include "teasellead/runtime/receive_budget.hpp"
+#include "teasellead/runtime/memory_budget.hpp"
 
 namespace teasellead::runtime
 {
@@ -87,12 +87,12 @@
     @param[in] clock            clock of @ref usable_until
     @param[in] address          address of the server
     @param[in] connect_timeout  longest time to connect
-    @param[in] budget           limits the bytes of unfinished responses on all connections that share it;
-                                no limit if null
+    @param[in] budget           limits the bytes of replies, those of unfinished ones on all connections that
+                                share it among them; no limit if null
     */
     client_connection(asio::io_context& loop, const monotonic_clock& clock, const endpoint& address,
                       std::chrono::milliseconds connect_timeout,
-                      std::shared_ptr<receive_budget> budget = nullptr);
+                      std::shared_ptr<memory_budget> budget = nullptr);
     ~client_connection();
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
@@ -153,7 +153,6 @@
     void on_read(const boost::system::error_code& error, std::size_t bytes);
     void begin_response();
     [[nodiscard]] bool charge();
-    void release_charge() noexcept;
     void parse();
     [[nodiscard]] response_match match(const http_response& response) const;
     void on_response();
@@ -170,9 +169,8 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     std::optional<exchange> m_exchange;
-    std::shared_ptr<receive_budget> m_budget;
-    std::size_t m_charged{0}; ///< bytes charged to the budget for the unfinished response
-    int m_skipped{0};         ///< interim responses, and responses to other requests, in the running exchange
+    memory_charge m_charge; ///< for the unfinished response
+    int m_skipped{0};       ///< interim responses, and responses to other requests, in the running exchange
     bool m_is_reading{false};
     bool m_is_sending{false};
     std::uint64_t m_sent_requests{0};
--- a/packages/runtime/include/teasellead/runtime/refusals.hpp
+++ b/packages/runtime/include/teasellead/runtime/refusals.hpp
@@ -23,4 +23,7 @@
 /// the refusal of a node that stops; other nodes can serve the request at once
 [[nodiscard]] http_response stopping_refusal();
 
+/// refusal of a request for which there is no memory at the moment
+[[nodiscard]] http_response memory_refusal();
+
 } // namespace teasellead::runtime
--- a/packages/runtime/include/teasellead/runtime/request_driver.hpp
+++ b/packages/runtime/include/teasellead/runtime/request_driver.hpp
@@ -25,6 +25,7 @@
     forwarding::dispatch_context& m_dispatch_context;
     const forwarding::configuration_lease& m_configuration_lease;
     upstream_pool& m_pool;
+    std::shared_ptr<memory_budget> m_memory; ///< of what requests hold
     request_log& m_log;
     std::function<void()> m_send; ///< sends the messages to peers that processing of requests has queued
 };
@@ -87,6 +88,8 @@
     asio::steady_timer m_timer;
     std::unordered_map<forwarding::attempt_number, std::shared_ptr<client_connection>> m_running;
     std::string m_common_head;
+    memory_charge m_attempt_charge; ///< for the copies of the request that were made for its attempts
+    memory_charge m_reply_charge;   ///< for the replies that the dispatch holds
     bool m_is_ended{false};
 };
 
--- a/packages/runtime/include/teasellead/runtime/upstream_pool.hpp
+++ b/packages/runtime/include/teasellead/runtime/upstream_pool.hpp
@@ -25,10 +25,11 @@
     @param[in] loop             event loop
     @param[in] clock            clock for the timeouts of idle connections
     @param[in] connect_timeout  longest time to connect
+    @param[in] budget           limits the bytes of all replies; no limit if null
     */
     upstream_pool(asio::io_context& loop, const monotonic_clock& clock,
-                  std::chrono::milliseconds connect_timeout)
-        : m_loop(loop), m_clock(clock), m_connect_timeout(connect_timeout)
+                  std::chrono::milliseconds connect_timeout, std::shared_ptr<memory_budget> budget)
+        : m_loop(loop), m_clock(clock), m_connect_timeout(connect_timeout), m_budget(std::move(budget))
     {
     }
 
@@ -53,9 +54,6 @@
     void close_unused();
 
   private:
-    /// limit for the total size of the unfinished responses of all upstreams
-    static constexpr std::size_t max_received_bytes = 48 * 1024 * 1024;
-
     struct upstream_connections
     {
         forwarding::shared_upstream m_upstream; ///< keeps the map's key from being reused for another object
@@ -65,7 +63,7 @@
     asio::io_context& m_loop;
     const monotonic_clock& m_clock;
     std::chrono::milliseconds m_connect_timeout;
-    std::shared_ptr<receive_budget> m_budget{std::make_shared<receive_budget>(max_received_bytes)};
+    std::shared_ptr<memory_budget> m_budget;
     std::unordered_map<const forwarding::upstream*, upstream_connections> m_connections;
     std::uint64_t m_opened{0};
 };
--- a/packages/runtime/src/caller_request_handler.cpp
+++ b/packages/runtime/src/caller_request_handler.cpp
@@ -32,6 +32,11 @@
         refuse_stopping(admitted, respond);
         return {};
     }
+    if (!m_environment.m_memory->admits_request(admitted.m_request.m_body.size()))
+    {
+        refuse(admitted, memory_refusal(), "memory_short", respond);
+        return {};
+    }
     quota_answer answer = quota_granted{};
     const quota_ticket ticket = ++m_last_ticket;
     if (!admitted.m_account.empty())
--- a/packages/runtime/src/caller_server.cpp
+++ b/packages/runtime/src/caller_server.cpp
@@ -1,9 +1,12 @@
 #include "teasellead/runtime/caller_server.hpp"
 
+#include <algorithm>
 #include <fcntl.h>
+#include <iterator>
 
 #include "caller_session.hpp"
 #include "teasellead/kernel/exceptions.hpp"
+#include "teasellead/runtime/refusals.hpp"
 
 namespace teasellead::runtime
 {
@@ -14,6 +17,15 @@
 constexpr int bind_failed_id = 403;
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
+std::vector<connection_load> loads_of(const std::vector<std::shared_ptr<caller_session>>& sessions)
+{
+    std::vector<connection_load> result;
+    result.reserve(sessions.size());
+    std::transform(sessions.begin(), sessions.end(), std::back_inserter(result),
+                   [](const std::shared_ptr<caller_session>& each) { return each->load(); });
+    return result;
+}
+
 } // namespace
 
 caller_server::caller_server(asio::io_context& loop, const endpoint& address, http_handler handler)
@@ -56,9 +68,7 @@
             }
             if (!error)
             {
-                const auto session = std::make_shared<caller_session>(std::move(socket), *this);
-                m_sessions.insert(session);
-                session->start();
+                admit(std::move(socket));
                 accept();
                 return;
             }
@@ -75,6 +85,79 @@
         });
 }
 
+void caller_server::admit(tcp::socket socket)
+{
+    if (!make_room())
+    {
+        return; // the socket's destructor closes the connection, of which nothing was read
+    }
+    const auto session = std::make_shared<caller_session>(std::move(socket), *this);
+    m_sessions.insert(session);
+    session->start();
+}
+
+bool caller_server::make_room()
+{
+    while (m_connection_limits && m_sessions.size() >= m_connection_limits->m_max_connections)
+    {
+        const auto sessions = open_sessions();
+        const std::optional<std::size_t> chosen = most_dispensable_connection(loads_of(sessions));
+        if (!chosen)
+        {
+            return false;
+        }
+        evict(*sessions[*chosen], eviction_reason::surplus);
+    }
+    return true;
+}
+
+void caller_server::relieve(memory_use use)
+{
+    if (!m_connection_limits || !m_connection_limits->m_budget)
+    {
+        return;
+    }
+    const auto reason =
+        use == memory_use::response ? eviction_reason::slow_reader : eviction_reason::slow_sender;
+    while (m_connection_limits->m_budget->is_exceeded(use))
+    {
+        const auto sessions = open_sessions();
+        const std::optional<std::size_t> chosen = heaviest_connection(loads_of(sessions), use);
+        if (!chosen)
+        {
+            return;
+        }
+        evict(*sessions[*chosen], reason);
+    }
+}
+
+void caller_server::evict(caller_session& session, eviction_reason reason)
+{
+    const eviction evicted{reason, session.load()};
+    if (reason == eviction_reason::slow_sender)
+    {
+        session.refuse_partial_request(memory_refusal());
+    }
+    else
+    {
+        session.close();
+    }
+    if (m_connection_limits->m_on_eviction)
+    {
+        m_connection_limits->m_on_eviction(evicted);
+    }
+}
+
+time_point caller_server::now() const
+{
+    return m_connection_limits ? m_connection_limits->m_clock.now() : time_point{};
+}
+
+void caller_server::limit_connections(connection_limits limits)
+{
+    m_connection_limits.emplace(std::move(limits));
+}
+
 void caller_server::set_limits(const forwarding::caller_limits& limits)
 {
     m_limits = limits;
@@ -107,7 +190,7 @@
 {
     for (const auto& session : open_sessions())
     {
-        session->refuse_partial_request();
+        session->refuse_partial_request(stopping_refusal());
     }
 }
 
--- a/packages/runtime/src/caller_session.cpp
+++ b/packages/runtime/src/caller_session.cpp
@@ -1,12 +1,13 @@
 #include "caller_session.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/http/error.hpp>
 #include <chrono>
 #include <iterator>
 
 #include "feed_parser.hpp"
-#include "teasellead/runtime/refusals.hpp"
+#include "message_head.hpp"
 
 namespace teasellead::runtime
 {
@@ -15,6 +16,7 @@
 {
 
 namespace http = boost::beast::http;
+
 using std::chrono::milliseconds;
 
 constexpr std::size_t read_size = 4096;
@@ -30,6 +32,11 @@
 constexpr unsigned content_too_large = 413;
 constexpr unsigned fields_too_large = 431;
 
+std::shared_ptr<memory_budget> budget_of(const std::optional<connection_limits>& limits)
+{
+    return limits ? limits->m_budget : nullptr;
+}
+
 unsigned status_of(const boost::system::error_code& error)
 {
     if (error == http::error::header_limit)
@@ -39,21 +46,12 @@
     return error == http::error::body_limit ? content_too_large : bad_request;
 }
 
-template <class Fields>
-std::vector<header_field> copy_fields(const Fields& fields)
-{
-    std::vector<header_field> result;
-    for (const auto& field : fields)
-    {
-        result.push_back({std::string{field.name_string()}, std::string{field.value()}});
-    }
-    return result;
-}
-
 } // namespace
 
 caller_session::caller_session(tcp::socket socket, caller_server& server)
-    : m_socket(std::move(socket)), m_server(&server), m_timer(server.m_loop)
+    : m_socket(std::move(socket)), m_server(&server), m_timer(server.m_loop), m_phase_began(server.now()),
+      m_input_charge(budget_of(server.m_connection_limits), memory_use::request),
+      m_output_charge(budget_of(server.m_connection_limits), memory_use::response)
 {
 }
 
@@ -64,9 +62,38 @@
     begin_request();
 }
 
+connection_load caller_session::load() const
+{
+    const duration since = m_server->now() - m_phase_began;
+    const std::size_t bytes = m_input_charge.bytes() + m_output_charge.bytes();
+    switch (m_phase)
+    {
+    case phase::idle:
+        return {connection_activity::idle, bytes, since};
+    case phase::reading:
+        return {connection_activity::receiving, bytes, since};
+    case phase::handling:
+        return {connection_activity::handling, bytes, since};
+    case phase::responding:
+        return {connection_activity::sending, bytes, since};
+    default:
+        return {connection_activity::lingering, bytes, since};
+    }
+}
+
+void caller_session::charge_input()
+{
+    // a body in chunks may occupy more than its bytes
+    const bool grows = m_parser && m_parser->is_header_done() && m_parser->chunked();
+    const std::size_t body = grows ? m_parser->get().body().capacity() : 0;
+    m_input_charge.set(m_buffer.capacity() + std::max(m_request_bytes, body));
+}
+
 void caller_session::begin_request()
 {
-    m_phase = phase::idle;
+    enter(phase::idle);
+    m_request_bytes = 0;
+    charge_input();
     m_keeps_alive = true;
     m_has_checked_expect = false;
     m_parser.emplace();
@@ -83,7 +110,9 @@
 
 void caller_session::read()
 {
-    if (m_is_reading || m_phase == phase::closed || m_buffer.size() >= max_read_ahead)
+    const bool is_ahead = m_phase == phase::handling || m_phase == phase::responding;
+    if (m_is_reading || m_phase == phase::closed || m_buffer.size() >= max_read_ahead ||
+        (is_ahead && m_input_charge.is_exceeded()))
     {
         return;
     }
@@ -110,6 +139,7 @@
     {
     case phase::idle:
     case phase::reading:
+        m_request_bytes += bytes;
         parse();
         return;
     case phase::lingering:
@@ -117,6 +147,7 @@
         read();
         return;
     default:
+        charge_input();
         read();
         return;
     }
@@ -137,7 +168,7 @@
 {
     if (m_phase == phase::idle)
     {
-        m_phase = phase::reading;
+        enter(phase::reading);
         arm(m_server->m_limits.m_header_timeout);
     }
     if (const boost::system::error_code error =
@@ -146,11 +177,17 @@
         reject(status_of(error));
         return;
     }
+    charge_input();
     if (m_parser->is_done())
     {
         on_request();
         return;
     }
+    m_server->relieve(memory_use::request);
+    if (m_phase != phase::reading)
+    {
+        return; // this connection was chosen
+    }
     send_continue_if_expected();
     read();
 }
@@ -189,7 +226,7 @@
     request.m_has_body = message.chunked() || message.count(http::field::content_length) > 0;
     request.m_body = std::move(message.body());
     m_is_head_request = message.method() == http::verb::head;
-    m_phase = phase::handling;
+    enter(phase::handling);
     m_timer.cancel();
     ++m_server->m_in_flight;
     const std::uint64_t number = ++m_request_number;
@@ -226,55 +263,33 @@
 {
     m_keeps_alive = false;
     m_is_head_request = false;
+    m_parser.reset();
+    m_request_bytes = 0;
     const auto& make_rejection = m_server->m_make_rejection;
     http_response response = make_rejection ? make_rejection(status) : http_response{status, {}, {}};
     std::move(fields.begin(), fields.end(), std::back_inserter(response.m_fields));
     write(std::move(response), true);
 }
 
-std::string caller_session::head_of(const http_response& response, bool is_final) const
-{
-    constexpr unsigned no_content = 204;
-    constexpr unsigned not_modified = 304;
-    const auto reason = http::obsolete_reason(http::int_to_status(response.m_status));
-    std::string head = "HTTP/1.1 " + std::to_string(response.m_status) + " ";
-    head.append(reason.data(), reason.size());
-    head += "\r\n";
-    for (const header_field& field : response.m_fields)
-    {
-        append_field(head, field.m_name, field.m_value);
-    }
-    const bool has_own_length = find_field(response.m_fields, "content-length").has_value();
-    if (response.m_status != no_content && response.m_status != not_modified && !has_own_length)
-    {
-        append_field(head, "Content-Length", std::to_string(response.m_body.size()));
-    }
-    const auto idle_s = std::chrono::duration_cast<std::chrono::seconds>(m_server->m_limits.m_idle_timeout);
-    if (is_final)
-    {
-        append_field(head, "Connection", "close");
-    }
-    else if (idle_s.count() > 0)
-    {
-        append_field(head, "Keep-Alive", "timeout=" + std::to_string(idle_s.count()));
-    }
-    head += "\r\n";
-    return head;
-}
-
 void caller_session::write(http_response response, bool is_final)
 {
-    m_phase = phase::responding;
+    enter(phase::responding);
     m_keeps_alive = !is_final;
-    m_output = head_of(response, is_final);
+    m_request_bytes = 0;
+    charge_input();
+    m_output = response_head(response, m_server->m_limits.m_idle_timeout, is_final);
     if (!m_is_head_request)
     {
-        m_output += response.m_body;
+        m_output_body = std::move(response.m_body);
     }
+    m_output_charge.set(m_output.capacity() + m_output_body.capacity());
     arm(write_timeout);
-    asio::async_write(m_socket, asio::buffer(m_output),
+    const std::array buffers{asio::const_buffer{asio::buffer(m_output)},
+                             asio::const_buffer{asio::buffer(m_output_body)}};
+    asio::async_write(m_socket, buffers,
                       [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
                       { self->on_written(error); });
+    m_server->relieve(memory_use::response);
 }
 
 void caller_session::on_written(const boost::system::error_code& error)
@@ -288,6 +303,8 @@
         close();
         return;
     }
+    m_output_body = std::string{};
+    m_output_charge.set(0);
     if (m_keeps_alive)
     {
         begin_request();
@@ -299,7 +316,7 @@
 void caller_session::linger()
 {
     // closing a socket with unread input sends a reset, which could discard the response before it is read
-    m_phase = phase::lingering;
+    enter(phase::lingering);
     boost::system::error_code ignored; // the caller may already have closed the connection
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     m_buffer.clear();
@@ -315,11 +332,10 @@
     }
 }
 
-void caller_session::refuse_partial_request()
+void caller_session::refuse_partial_request(http_response refused)
 {
     if (m_phase == phase::reading)
     {
-        http_response refused = stopping_refusal();
         reject(refused.m_status, std::move(refused.m_fields));
     }
 }
@@ -334,7 +350,9 @@
     {
         --m_server->m_in_flight;
     }
-    m_phase = phase::closed;
+    enter(phase::closed);
+    m_input_charge.set(0);
+    m_output_charge.set(0);
     ++m_request_number;
     m_timer.cancel();
     boost::system::error_code ignored; // the socket isn't used any more
--- a/packages/runtime/src/caller_session.hpp
+++ b/packages/runtime/src/caller_session.hpp
@@ -28,8 +28,11 @@
     /// sends the response if a request has none yet
     void respond(http_response response);
 
-    /// responds with 503 if a request was received only in part
-    void refuse_partial_request();
+    /// sends a refusal if a request was received only in part, and closes the connection
+    void refuse_partial_request(http_response refused);
+
+    /// what the connection holds
+    [[nodiscard]] connection_load load() const;
 
     /// closes the connection immediately, also during a request
     void close();
@@ -47,6 +50,13 @@
 
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    void enter(phase next)
+    {
+        m_phase = next;
+        m_phase_began = m_server->now();
+    }
+
+    void charge_input();
     void begin_request();
     void read();
     void on_read(const boost::system::error_code& error, std::size_t bytes);
@@ -60,7 +70,6 @@
     void linger();
     void arm(std::chrono::milliseconds delay);
     void on_timer();
-    [[nodiscard]] std::string head_of(const http_response& response, bool is_final) const;
 
     tcp::socket m_socket;
     caller_server* m_server;
@@ -68,13 +77,18 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<parser> m_parser;
     phase m_phase{phase::idle};
+    time_point m_phase_began;
+    std::size_t m_request_bytes{0}; ///< received bytes of the current request, until it has a response
+    memory_charge m_input_charge;
+    memory_charge m_output_charge;
     bool m_is_reading{false};
     bool m_keeps_alive{true};
     bool m_is_head_request{false};
     bool m_has_checked_expect{false};
     std::uint64_t m_request_number{0};
     disconnect_callback m_on_disconnect;
-    std::string m_output;
+    std::string m_output; ///< what is being written: an interim response, or the head of a response
+    std::string m_output_body;
 };
 
 } // namespace teasellead::runtime
--- a/packages/runtime/src/client_connection.cpp
+++ b/packages/runtime/src/client_connection.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "feed_parser.hpp"
+#include "message_head.hpp"
 
 namespace teasellead::runtime
 {
@@ -62,16 +63,13 @@
 
 client_connection::client_connection(asio::io_context& loop, const monotonic_clock& clock,
                                      const endpoint& address, std::chrono::milliseconds connect_timeout,
-                                     std::shared_ptr<receive_budget> budget)
+                                     std::shared_ptr<memory_budget> budget)
     : m_clock(clock), m_socket(loop), m_address(address), m_connect_timeout(connect_timeout), m_timer(loop),
-      m_budget(std::move(budget))
+      m_charge(std::move(budget), memory_use::reply)
 {
 }
 
-client_connection::~client_connection()
-{
-    release_charge();
-}
+client_connection::~client_connection() = default;
 
 void client_connection::start(exchange next)
 {
@@ -208,20 +206,8 @@
 
 bool client_connection::charge()
 {
-    if (!m_budget)
-    {
-        return true;
-    }
-    const std::size_t held = m_buffer.capacity() + m_parser->get().body().capacity();
-    return m_budget->replace(std::exchange(m_charged, held), held);
-}
-
-void client_connection::release_charge() noexcept
-{
-    if (m_budget)
-    {
-        m_budget->release(std::exchange(m_charged, 0));
-    }
+    m_charge.set(m_buffer.capacity() + m_parser->get().body().capacity());
+    return !m_charge.is_exceeded();
 }
 
 response_match client_connection::match(const http_response& response) const
@@ -237,10 +223,7 @@
     auto message = m_parser->release();
     http_response response;
     response.m_status = message.result_int();
-    for (const auto& field : message)
-    {
-        response.m_fields.push_back({std::string{field.name_string()}, std::string{field.value()}});
-    }
+    response.m_fields = copy_fields(message);
     response.m_body = std::move(message.body());
     const bool is_interim = response.m_status < first_final_status;
     const response_match found = is_interim ? response_match::other : match(response);
@@ -271,7 +254,7 @@
     }
     std::string connection{find_field(response.m_fields, "connection").value_or("")};
     received_response received{std::move(response), std::move(connection)};
-    release_charge();
+    m_charge.set(0);
     if (is_reusable)
     {
         m_state = state::idle;
@@ -340,7 +323,7 @@
         return;
     }
     m_state = state::closed;
-    release_charge();
+    m_charge.set(0);
     m_exchange.reset();
     m_timer.cancel();
     boost::system::error_code ignored; // the socket isn't used any more
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "caller_request_handler.hpp"
+#include "eviction_log.hpp"
 #include "node_state.hpp"
 #include "operator_interface.hpp"
 #include "settings_reload.hpp"
@@ -44,8 +45,10 @@
   public:
     implementation(const deployment& platform, decision_log& log)
         : m_settings(platform.settings()), m_protocol(platform.protocol()), m_decisions(log),
-          m_log(log, m_clock), m_incarnation(new_incarnation()), m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
-          m_ticker(m_loop), m_stop_timer(m_loop), m_pool(m_loop, m_clock, connect_timeout),
+          m_log(log, m_clock), m_evictions(m_log),
+          m_memory(std::make_shared<memory_budget>(memory_limits::for_memory(m_settings.m_memory_bytes))),
+          m_incarnation(new_incarnation()), m_signals(m_loop, SIGTERM, SIGINT, SIGHUP), m_ticker(m_loop),
+          m_stop_timer(m_loop), m_pool(m_loop, m_clock, connect_timeout, m_memory),
           m_state(platform, m_loop, m_clock, m_log, m_incarnation,
                   {[this](const forwarding::upstream& target, std::size_t connections)
                    { return m_pool.has_capacity(target, connections); },
@@ -64,6 +67,7 @@
                         m_state.dispatch_context(),
                         m_state.configuration_lease(),
                         m_pool,
+                        m_memory,
                         m_log,
                         [this]
                         {
@@ -93,6 +97,7 @@
                                   return disconnect_callback{};
                               });
         }
+        limit_connections();
         m_decisions.write(log_level::info, "started",
                           {{"node", m_settings.m_name},
                            {"data_centre", m_settings.m_data_centre},
@@ -109,6 +114,24 @@
     }
 
   private:
+    void limit_connections()
+    {
+        const connection_limits limits{m_clock, m_memory,
+                                       max_operator_connections(m_settings.m_max_descriptors),
+                                       [this](const eviction& each)
+                                       {
+                                           m_evictions.add(each);
+                                       }};
+        m_readiness.limit_connections(limits);
+        if (m_metrics)
+        {
+            m_metrics->limit_connections(limits);
+        }
+        connection_limits of_callers = limits;
+        of_callers.m_max_connections = max_caller_connections(m_settings.m_max_descriptors);
+        m_callers.limit_connections(std::move(of_callers));
+    }
+
     void on_table(const forwarding::shared_route_table& table)
     {
         m_callers.set_limits(table->content().m_limits);
@@ -223,7 +246,8 @@
 
     [[nodiscard]] std::string exposition() const
     {
-        return m_log.exposition() + m_state.exposition() +
+        return m_log.exposition() + m_state.exposition() + m_evictions.exposition(*m_memory) +
+               exposition_line("teasellead_caller_connections", "gauge", m_callers.connections()) +
                exposition_line("teasellead_upstream_connections_opened_total", "counter", m_pool.opened()) +
                exposition_line("teasellead_requests_in_flight", "gauge", m_callers.in_flight());
     }
@@ -234,6 +258,8 @@
     decision_log& m_decisions;
     suspend_aware_clock m_clock;
     request_log m_log;
+    eviction_log m_evictions;
+    std::shared_ptr<memory_budget> m_memory;
     const node_incarnation m_incarnation;
     asio::io_context m_loop{1};
     asio::signal_set m_signals;
--- a/packages/runtime/src/refusals.cpp
+++ b/packages/runtime/src/refusals.cpp
@@ -19,4 +19,11 @@
     return refusal(service_unavailable, std::chrono::milliseconds::zero());
 }
 
+http_response memory_refusal()
+{
+    // connections that occupy the memory are closed meanwhile, or have been read
+    constexpr std::chrono::milliseconds retry_after{500};
+    return refusal(service_unavailable, retry_after);
+}
+
 } // namespace teasellead::runtime
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -45,7 +45,9 @@
     : m_environment(environment), m_request(std::move(request)), m_respond(std::move(respond)),
       m_dispatch(m_request.m_dispatch, environment.m_dispatch_context, environment.m_clock.now()),
       m_started_at(environment.m_clock.now()), m_timer(environment.m_loop),
-      m_common_head(environment.m_protocol.common_head(m_request.m_request, m_request.m_account))
+      m_common_head(environment.m_protocol.common_head(m_request.m_request, m_request.m_account)),
+      m_attempt_charge(environment.m_memory, memory_use::request),
+      m_reply_charge(environment.m_memory, memory_use::reply)
 {
 }
 
@@ -145,6 +147,7 @@
     next.m_bytes = m_common_head +
                    m_environment.m_protocol.attempt_fields(action.m_upstream->entry().m_instance, left) +
                    "\r\n" + m_request.m_request.m_body;
+    m_attempt_charge.add(next.m_bytes.size());
     next.m_is_head = m_request.m_request.m_method == "HEAD";
     next.m_may_send = [self = shared_from_this()]
     {
@@ -234,6 +237,7 @@
     if (auto* reply = std::get_if<forwarding::upstream_reply>(&outcome))
     {
         count_end(attempt, "replied");
+        m_reply_charge.add(reply->m_body.size());
         execute(m_dispatch.on_reply(attempt, std::move(*reply), now));
         return;
     }
--- a/tests/unit/runtime/unit-client-connection.cpp
+++ b/tests/unit/runtime/unit-client-connection.cpp
@@ -37,7 +37,7 @@
     CPPUNIT_TEST(responses_and_reuse_of_the_connection);
     CPPUNIT_TEST(response_without_id_belongs_to_the_first_request_only);
     CPPUNIT_TEST(endless_responses_are_aborted);
-    CPPUNIT_TEST(connections_share_the_receive_budget);
+    CPPUNIT_TEST(connections_share_the_reply_budget);
     CPPUNIT_TEST(refused_connection_confirms_that_nothing_ran);
     CPPUNIT_TEST(forbidden_request_is_never_sent);
     CPPUNIT_TEST_SUITE_END();
@@ -183,25 +183,31 @@
         };
         for (const row& each : rows)
         {
-            const auto budget = std::make_shared<receive_budget>(receive_limit);
+            const auto budget = std::make_shared<memory_budget>(memory_limits{0, receive_limit, 0});
             const exchange_result result = exchange_without_end(each.m_first, each.m_repeated, budget);
             CPPUNIT_ASSERT_MESSAGE(each.m_name, std::holds_alternative<exchange_failure>(result));
             CPPUNIT_ASSERT_MESSAGE(each.m_name,
                                    std::get<exchange_failure>(result) == exchange_failure::malformed);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_name, std::size_t{0}, budget->used());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_name, std::size_t{0}, budget->used(memory_use::reply));
         }
     }
 
     /// bytes that one connection has reserved aren't available to the others until it releases them
-    void connections_share_the_receive_budget()
+    void connections_share_the_reply_budget()
     {
-        receive_budget budget{100};
-        CPPUNIT_ASSERT(budget.replace(0, 60));
-        CPPUNIT_ASSERT(budget.replace(0, 40));
-        CPPUNIT_ASSERT(!budget.replace(60, 61));
-        budget.release(61);
-        CPPUNIT_ASSERT(budget.replace(40, 100));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{100}, budget.used());
+        const auto budget = std::make_shared<memory_budget>(memory_limits{0, 100, 0});
+        memory_charge first{budget, memory_use::reply};
+        memory_charge second{budget, memory_use::reply};
+        first.set(60);
+        CPPUNIT_ASSERT(!first.is_exceeded());
+        second.set(40);
+        CPPUNIT_ASSERT(!second.is_exceeded());
+        first.set(61);
+        CPPUNIT_ASSERT(first.is_exceeded());
+        first.set(0);
+        second.set(100);
+        CPPUNIT_ASSERT(!second.is_exceeded());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{100}, budget->used(memory_use::reply));
     }
 
     void refused_connection_confirms_that_nothing_ran()
@@ -251,7 +257,7 @@
 
     /// result of a request to a server that sends until the connection is closed
     exchange_result exchange_without_end(const std::string& first, const std::string& repeated,
-                                         const std::shared_ptr<receive_budget>& budget)
+                                         const std::shared_ptr<memory_budget>& budget)
     {
         loop_thread thread;
         std::promise<exchange_result> ended;
