--- a/tests/unit/runtime/unit-caller-session.cpp
+++ b/tests/unit/runtime/unit-caller-session.cpp
@@ -40,6 +40,8 @@
     CPPUNIT_TEST(chunked_body_is_assembled);
     CPPUNIT_TEST(caller_disconnect_is_detected);
     CPPUNIT_TEST(partial_request_is_refused_on_demand);
+    CPPUNIT_TEST(slow_sender_is_refused_over_the_limit);
+    CPPUNIT_TEST(idle_connection_makes_room_for_another);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -142,6 +144,38 @@
         CPPUNIT_ASSERT(idle.read_all().empty());
     }
 
+    /// each connection occupies a buffer of 4096 bytes; there is room for one and a half
+    void slow_sender_is_refused_over_the_limit()
+    {
+        limit({6000, 0, 100'000}, 10);
+        raw_connection slow{server_address};
+        slow.send("POST /slow HTTP/1.1\r\nPadding: " + std::string(200, '.') +
+                  "\r\nContent-Length: 4\r\n\r\nab");
+        raw_connection quick{server_address};
+        quick.send("POST /quick HTTP/1.1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nab");
+        const std::string refused = slow.read_all();
+        CPPUNIT_ASSERT_EQUAL(std::string{"HTTP/1.1 503"}, refused.substr(0, 12));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_of(refused, "Retry-After: "));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_of(refused, "Connection: close"));
+        quick.send("cd");
+        CPPUNIT_ASSERT(quick.read_all().find("/quick:abcd") != std::string::npos);
+    }
+
+    void idle_connection_makes_room_for_another()
+    {
+        limit({100'000, 0, 100'000}, 2);
+        raw_connection first{server_address};
+        raw_connection second{server_address};
+        second.send("POST /second HTTP/1.1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nab");
+        std::this_thread::sleep_for(50ms);
+        raw_connection third{server_address};
+        CPPUNIT_ASSERT(first.read_all().empty());
+        second.send("cd");
+        CPPUNIT_ASSERT(second.read_all().find("/second:abcd") != std::string::npos);
+        third.send("GET /third HTTP/1.1\r\nConnection: close\r\n\r\n");
+        CPPUNIT_ASSERT(third.read_all().find("/third") != std::string::npos);
+    }
+
     void pipelined_requests_are_answered_in_order()
     {
         raw_connection connection{server_address};
@@ -172,6 +206,17 @@
     }
 
   private:
+    void limit(const memory_limits& memory, std::size_t connections)
+    {
+        m_thread->run(
+            [&]
+            {
+                m_server->set_limits({512, 64, 5s, 5s});
+                m_server->limit_connections(
+                    {m_clock, std::make_shared<memory_budget>(memory), connections, {}});
+            });
+    }
+
     disconnect_callback handle(const http_request& request, const respond_function& respond)
     {
         if (request.m_target == "/wait")
@@ -186,6 +231,7 @@
         return {};
     }
 
+    manual_clock m_clock;
     std::unique_ptr<loop_thread> m_thread;
     std::unique_ptr<caller_server> m_server;
     std::promise<void> m_is_waiting;
