--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -204,6 +204,12 @@
         m_distances.add(from.entry().m_service, from.entry().m_data_centre, latency);
     }
 
+    /// sets how to find out whether this node may connect to an upstream; without it, it may connect to all
+    void set_share_check(std::function<bool(const upstream&)> has_share)
+    {
+        m_has_share = std::move(has_share);
+    }
+
     /// sets how to find out whether a connection to an upstream is open
     void set_connection_check(connection_check has_connection)
     {
@@ -249,6 +255,11 @@
     [[nodiscard]] bool is_candidate(const upstream& each, time_point now) const;
     [[nodiscard]] candidate_state state_of(const upstream& candidate, const capacity_check& has_capacity,
                                            time_point now) const;
+    /// whether this node may connect to an upstream
+    [[nodiscard]] bool has_share(const upstream& candidate) const
+    {
+        return !m_has_share || m_has_share(candidate);
+    }
     /// whether a later version of the entry has been applied
     [[nodiscard]] bool is_outdated(const upstream_entry& entry) const;
     void insert(const upstream_entry& entry, time_point now);
@@ -259,6 +270,7 @@
     std::uint64_t m_version{0};
     network_distance m_distances;
     connection_check m_has_connection;
+    std::function<bool(const upstream&)> m_has_share;
     std::set<std::string> m_evacuated;
     std::unordered_map<std::string, shared_upstream> m_by_instance;
     std::unordered_map<std::string, std::vector<shared_upstream>> m_by_service;
--- a/packages/forwarding/src/extra_reserve.cpp
+++ b/packages/forwarding/src/extra_reserve.cpp
@@ -6,24 +6,24 @@
 namespace
 {
 
-// fractions of the budget that the most urgent requests leave for those of their attempts that matter more
-constexpr double retry_fraction = 0.1;
-constexpr double optional_fraction = 0.25;
+// percentages of the budget that the most urgent requests leave for those of their attempts that matter more
+constexpr int retry_percentage = 5;
+constexpr int optional_percentage = 10;
 // added for requests that are less urgent than others
-constexpr double urgent_fraction = 0.25;
+constexpr int urgent_percentage = 5;
 
-double fraction_for_kind(extra_attempt kind) noexcept
+int percentage_for_kind(extra_attempt kind) noexcept
 {
     switch (kind)
     {
     case extra_attempt::completing:
-        return 0.0;
+        return 0;
     case extra_attempt::retry:
-        return retry_fraction;
+        return retry_percentage;
     case extra_attempt::optional:
-        return optional_fraction;
+        return optional_percentage;
     }
-    return optional_fraction;
+    return optional_percentage;
 }
 
 } // namespace
@@ -34,7 +34,8 @@
     {
         return 0.0;
     }
-    return fraction_for_kind(kind) + (standing.m_more_urgent > 0 ? urgent_fraction : 0.0);
+    constexpr double whole = 100.0;
+    return (percentage_for_kind(kind) + (standing.m_more_urgent > 0 ? urgent_percentage : 0)) / whole;
 }
 
 } // namespace teasellead::forwarding
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -317,7 +317,7 @@
     no_upstream failure = no_upstream::none_known;
     for (const shared_upstream& candidate : group->second)
     {
-        if (!may_receive(*candidate) || candidate->is_ejected(now))
+        if (!may_receive(*candidate) || candidate->is_ejected(now) || !has_share(*candidate))
         {
             continue;
         }
@@ -358,7 +358,7 @@
     }
     for (const shared_upstream& each : group->second)
     {
-        if (!may_receive(*each) || each->is_ejected(now) || each->is_paused(now))
+        if (!is_candidate(*each, now))
         {
             continue;
         }
@@ -374,7 +374,7 @@
 
 bool upstream_directory::is_candidate(const upstream& each, time_point now) const
 {
-    return may_receive(each) && !each.is_ejected(now) && !each.is_paused(now);
+    return may_receive(each) && !each.is_ejected(now) && !each.is_paused(now) && has_share(each);
 }
 
 bool upstream_directory::has_candidates(const std::string& service, time_point now) const
--- a/packages/runtime/include/teasellead/runtime/caller_server.hpp
+++ b/packages/runtime/include/teasellead/runtime/caller_server.hpp
@@ -50,7 +50,7 @@
 };
 
 /// limits of what the connections of a server hold together
-struct connection_limits
+struct caller_connection_limits
 {
     const monotonic_clock& m_clock;          ///< must outlive the server
     std::shared_ptr<memory_budget> m_budget; ///< of requests and responses; no limit if null
@@ -97,7 +97,7 @@
     A connection over a limit makes the server close another one, or itself; see @ref heaviest_connection and
     @ref most_dispensable_connection.
     */
-    void limit_connections(connection_limits limits);
+    void limit_connections(caller_connection_limits limits);
 
     /// adds `Connection: close` to each response from now on
     void announce_close();
@@ -137,7 +137,7 @@
     http_handler m_handler;
     std::function<http_response(unsigned)> m_make_rejection;
     forwarding::caller_limits m_limits;
-    std::optional<connection_limits> m_connection_limits;
+    std::optional<caller_connection_limits> m_connection_limits;
     bool m_is_closing{false};
     std::size_t m_in_flight{0};
     std::set<std::shared_ptr<caller_session>> m_sessions;
--- a/packages/runtime/src/caller_server.cpp
+++ b/packages/runtime/src/caller_server.cpp
@@ -153,7 +153,7 @@
     return m_connection_limits ? m_connection_limits->m_clock.now() : time_point{};
 }
 
-void caller_server::limit_connections(connection_limits limits)
+void caller_server::limit_connections(caller_connection_limits limits)
 {
     m_connection_limits.emplace(std::move(limits));
 }
--- a/packages/runtime/src/caller_session.cpp
+++ b/packages/runtime/src/caller_session.cpp
@@ -32,7 +32,7 @@
 constexpr unsigned content_too_large = 413;
 constexpr unsigned fields_too_large = 431;
 
-std::shared_ptr<memory_budget> budget_of(const std::optional<connection_limits>& limits)
+std::shared_ptr<memory_budget> budget_of(const std::optional<caller_connection_limits>& limits)
 {
     return limits ? limits->m_budget : nullptr;
 }
--- a/packages/runtime/src/connection_limits.cpp
+++ b/packages/runtime/src/connection_limits.cpp
@@ -115,12 +115,38 @@
     const auto place = m_places.find({m_self.m_address, m_self.m_data_centre});
     for (std::size_t i = 0; place && i < result.m_upstreams.size(); ++i)
     {
-        const std::size_t share = divided.share(*place, i);
-        result.m_upstreams[i].m_connections = m_is_settled ? share : std::min<std::size_t>(share, 1);
+        result.m_upstreams[i].m_connections = divided.share(*place, i);
+    }
+    if (!m_is_settled)
+    {
+        reduce_unsettled(result);
     }
     return result;
 }
 
+void connection_limits::reduce_unsettled(service_shares& shares) const
+{
+    const std::size_t used = (shares.m_upstreams.size() * 2 + 2) / 3;
+    std::vector<upstream_share*> order;
+    for (upstream_share& each : shares.m_upstreams)
+    {
+        each.m_connections = std::min<std::size_t>(each.m_connections, 1);
+        order.push_back(&each);
+    }
+    std::sort(order.begin(), order.end(),
+              [this](const upstream_share* lhs, const upstream_share* rhs)
+              { return score_of(*lhs->m_upstream) > score_of(*rhs->m_upstream); });
+    for (std::size_t i = used; i < order.size(); ++i)
+    {
+        order[i]->m_connections = 0;
+    }
+}
+
+std::uint64_t connection_limits::score_of(const forwarding::upstream& target) const
+{
+    return rendezvous_score(key_of(m_self.m_address), key_of(target.entry().m_address));
+}
+
 bool connection_limits::is_usable(const forwarding::upstream& candidate, time_point now) const
 {
     return m_directory.may_receive(candidate) && !candidate.is_ejected(now) && !candidate.is_paused(now);
@@ -140,8 +166,7 @@
         {
             return nullptr;
         }
-        const std::uint64_t score =
-            rendezvous_score(key_of(m_self.m_address), key_of(each.m_upstream->entry().m_address));
+        const std::uint64_t score = score_of(*each.m_upstream);
         if (result == nullptr || score > best_score)
         {
             result = each.m_upstream;
--- a/packages/runtime/src/connection_limits.hpp
+++ b/packages/runtime/src/connection_limits.hpp
@@ -87,6 +87,10 @@
 
     [[nodiscard]] const service_shares& shares_of(const forwarding::service& declared);
     [[nodiscard]] service_shares compute(const forwarding::service& declared) const;
+    /// keeps one connection to each of two thirds of the upstreams, as long as most nodes are unknown
+    void reduce_unsettled(service_shares& shares) const;
+    /// place of an upstream in an order that differs from node to node
+    [[nodiscard]] std::uint64_t score_of(const forwarding::upstream& target) const;
     [[nodiscard]] bool is_usable(const forwarding::upstream& candidate, time_point now) const;
     [[nodiscard]] const forwarding::upstream* substitute(const service_shares& shares, time_point now) const;
 
--- a/packages/runtime/src/forwarding_node.cpp
+++ b/packages/runtime/src/forwarding_node.cpp
@@ -117,18 +117,18 @@
   private:
     void limit_connections()
     {
-        const connection_limits limits{m_clock, m_memory,
-                                       max_operator_connections(m_settings.m_max_descriptors),
-                                       [this](const eviction& each)
-                                       {
-                                           m_evictions.add(each);
-                                       }};
+        const caller_connection_limits limits{m_clock, m_memory,
+                                              max_operator_connections(m_settings.m_max_descriptors),
+                                              [this](const eviction& each)
+                                              {
+                                                  m_evictions.add(each);
+                                              }};
         m_readiness.limit_connections(limits);
         if (m_metrics)
         {
             m_metrics->limit_connections(limits);
         }
-        connection_limits of_callers = limits;
+        caller_connection_limits of_callers = limits;
         of_callers.m_max_connections = max_caller_connections(m_settings.m_max_descriptors);
         m_callers.limit_connections(std::move(of_callers));
     }
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -78,12 +78,13 @@
                          m_random,
                          [this](const forwarding::upstream& target)
                          {
-                             return has_capacity(target);
+                             return m_callbacks.m_has_capacity(target, connection_limit(target));
                          }},
       m_publications(platform, loop, clock, platform.settings().m_peer_address, m_configuration_lease,
                      m_directory, log,
                      [this](received_declarations next) { on_declarations(std::move(next)); })
 {
+    m_directory.set_share_check([this](const forwarding::upstream& target) { return has_share(target); });
 }
 
 messages node_state::on_tick(bool is_leaving)
@@ -335,11 +336,11 @@
     }
 }
 
-bool node_state::has_capacity(const forwarding::upstream& target)
+bool node_state::has_share(const forwarding::upstream& target)
 {
-    const std::size_t limit = connection_limit(target);
-    m_without_share += limit == 0 ? 1 : 0;
-    return m_callbacks.m_has_capacity(target, limit);
+    const bool result = connection_limit(target) > 0;
+    m_without_share += result ? 0 : 1;
+    return result;
 }
 
 std::string node_state::exposition() const
--- a/packages/runtime/src/node_state.hpp
+++ b/packages/runtime/src/node_state.hpp
@@ -165,7 +165,7 @@
     void process_ended_upstreams();
     void log_crashes();
     void log_holders();
-    [[nodiscard]] bool has_capacity(const forwarding::upstream& target);
+    [[nodiscard]] bool has_share(const forwarding::upstream& target);
     void log_observations(time_point now);
     [[nodiscard]] std::string observations_exposition() const;
 
