--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -204,7 +204,8 @@
         m_distances.add(from.entry().m_service, from.entry().m_data_centre, latency);
     }
 
-    /// sets how to find out whether this node may connect to an upstream; without it, it may connect to all
+    /// sets how to find out whether this node has a share in an upstream's connections; the others are
+    /// chosen only if none of those in which it has one can be
     void set_share_check(std::function<bool(const upstream&)> has_share)
     {
         m_has_share = std::move(has_share);
@@ -255,7 +256,7 @@
     [[nodiscard]] bool is_candidate(const upstream& each, time_point now) const;
     [[nodiscard]] candidate_state state_of(const upstream& candidate, const capacity_check& has_capacity,
                                            time_point now) const;
-    /// whether this node may connect to an upstream
+    /// whether this node has a share in an upstream's connections
     [[nodiscard]] bool has_share(const upstream& candidate) const
     {
         return !m_has_share || m_has_share(candidate);
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -314,10 +314,11 @@
         return no_upstream::none_known;
     }
     candidate_selection selection;
+    candidate_selection without_share;
     no_upstream failure = no_upstream::none_known;
     for (const shared_upstream& candidate : group->second)
     {
-        if (!may_receive(*candidate) || candidate->is_ejected(now) || !has_share(*candidate))
+        if (!may_receive(*candidate) || candidate->is_ejected(now))
         {
             continue;
         }
@@ -338,13 +339,15 @@
         }
         const completion_estimate expected =
             expected_completion(*candidate, work, m_distances, m_has_connection, now);
-        selection.add(candidate, expected, m_distances.is_own(candidate->entry().m_data_centre), random);
+        candidate_selection& group_of = has_share(*candidate) ? selection : without_share;
+        group_of.add(candidate, expected, m_distances.is_own(candidate->entry().m_data_centre), random);
     }
-    if (selection.best() == nullptr)
+    const candidate_selection& preferred = selection.best() == nullptr ? without_share : selection;
+    if (preferred.best() == nullptr)
     {
         return failure;
     }
-    return upstream_choice{*selection.best(), work, selection.expected(), selection.is_rerouted()};
+    return upstream_choice{*preferred.best(), work, preferred.expected(), preferred.is_rerouted()};
 }
 
 std::optional<completion_estimate>
@@ -374,7 +377,7 @@
 
 bool upstream_directory::is_candidate(const upstream& each, time_point now) const
 {
-    return may_receive(each) && !each.is_ejected(now) && !each.is_paused(now) && has_share(each);
+    return may_receive(each) && !each.is_ejected(now) && !each.is_paused(now);
 }
 
 bool upstream_directory::has_candidates(const std::string& service, time_point now) const
--- a/packages/runtime/src/node_state.cpp
+++ b/packages/runtime/src/node_state.cpp
@@ -78,7 +78,9 @@
                          m_random,
                          [this](const forwarding::upstream& target)
                          {
-                             return m_callbacks.m_has_capacity(target, connection_limit(target));
+                             // without a share, one connection for an attempt that has no other upstream
+                             return m_callbacks.m_has_capacity(
+                                 target, std::max<std::size_t>(connection_limit(target), 1));
                          }},
       m_publications(platform, loop, clock, platform.settings().m_peer_address, m_configuration_lease,
                      m_directory, log,
--- a/tests/unit/forwarding/unit-expected-completion.cpp
+++ b/tests/unit/forwarding/unit-expected-completion.cpp
@@ -307,6 +307,7 @@
         dispatch_fixture fixture{{"a"}, 3};
         random_source world{seed};
         std::vector<shared_upstream> upstreams;
+        upstreams.reserve(3);
         std::map<std::string, std::vector<time_point>> slots;
         for (int i = 0; i < 3; ++i)
         {
--- a/tests/unit/forwarding/unit-upstream.cpp
+++ b/tests/unit/forwarding/unit-upstream.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(failures_that_peers_report_raise_the_expectation);
     CPPUNIT_TEST(own_attempts_go_before_peers);
     CPPUNIT_TEST(reports_trouble_and_recovery_only);
+    CPPUNIT_TEST(upstream_without_share_serves_only_retries);
     CPPUNIT_TEST(failing_at_peers_is_tried_less_but_not_excluded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -186,6 +187,22 @@
         }
     }
 
+    void upstream_without_share_serves_only_retries()
+    {
+        dispatch_fixture fixture{{"a"}, 2};
+        const shared_upstream shared = fixture.m_directory.find("a-0");
+        fixture.m_directory.set_share_check([&shared](const upstream& each)
+                                            { return &each == shared.get(); });
+        const std::vector<shared_upstream> tried{shared};
+        for (const bool is_retry : {false, true})
+        {
+            const auto chosen = fixture.m_directory.choose(
+                "a", usual_work, is_retry ? std::span{tried} : std::span<const shared_upstream>{},
+                [](const upstream&) { return true; }, fixture.m_random, start);
+            CPPUNIT_ASSERT_EQUAL(is_retry, std::get<upstream_choice>(chosen).m_upstream != shared);
+        }
+    }
+
     void failing_at_peers_is_tried_less_but_not_excluded()
     {
         for (const int replicas : {1, 2})
