--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -205,7 +205,7 @@
     }
 
     /// sets how to find out whether this node has a share in an upstream's connections; the others are
-    /// chosen only if none of those in which it has one can be
+    /// chosen only if none of those in which it has one can be, or if these are expected to take far longer
     void set_share_check(std::function<bool(const upstream&)> has_share)
     {
         m_has_share = std::move(has_share);
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -12,6 +12,8 @@
 
 // maximum random addition to an expected time, as a fraction of it
 constexpr double jitter = 0.15;
+// an upstream without a share is preferred if others are expected to take this many times as long
+constexpr int min_gain_without_share = 2;
 // Versions of entries are also kept for removed instances; those are cleared once the total exceeds
 // max_states_per_upstream for each listed upstream, plus min_states.
 constexpr std::size_t max_states_per_upstream = 4;
@@ -342,7 +344,11 @@
         candidate_selection& group_of = has_share(*candidate) ? selection : without_share;
         group_of.add(candidate, expected, m_distances.is_own(candidate->entry().m_data_centre), random);
     }
-    const candidate_selection& preferred = selection.best() == nullptr ? without_share : selection;
+    const bool is_far_better =
+        selection.best() != nullptr && without_share.best() != nullptr &&
+        without_share.expected().total() * min_gain_without_share < selection.expected().total();
+    const candidate_selection& preferred =
+        selection.best() == nullptr || is_far_better ? without_share : selection;
     if (preferred.best() == nullptr)
     {
         return failure;
--- a/tests/unit/forwarding/unit-expected-completion.cpp
+++ b/tests/unit/forwarding/unit-expected-completion.cpp
@@ -291,6 +291,7 @@
                    (1.0 + 0.15 * random.unit());
         };
         std::vector<double> costs;
+        costs.reserve(upstreams.size());
         for (const shared_upstream& each : upstreams)
         {
             costs.push_back(static_cast<double>(cost(each).count()));
@@ -307,7 +308,6 @@
         dispatch_fixture fixture{{"a"}, 3};
         random_source world{seed};
         std::vector<shared_upstream> upstreams;
-        upstreams.reserve(3);
         std::map<std::string, std::vector<time_point>> slots;
         for (int i = 0; i < 3; ++i)
         {
