Upstreams without a share are chosen when they are a quarter better

Change: an upstream without a share is preferred if the others are expected to take 1.25 times as long, not twice.

--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -13,7 +13,7 @@
 // maximum random addition to an expected time, as a fraction of it
 constexpr double jitter = 0.15;
 // an upstream without a share is preferred if others are expected to take this many times as long
-constexpr int min_gain_without_share = 2;
+constexpr double min_gain_without_share = 1.25;
 // Versions of entries are also kept for removed instances; those are cleared once the total exceeds
 // max_states_per_upstream for each listed upstream, plus min_states.
 constexpr std::size_t max_states_per_upstream = 4;
