--- a/packages/ctl/src/report_command.cpp
+++ b/packages/ctl/src/report_command.cpp
@@ -1,6 +1,7 @@
 #include <future>
 #include <ostream>
 
+#include "detail/operator_address.hpp"
 #include "teasellead/ctl/commands.hpp"
 #include "teasellead/ctl/fleet_report.hpp"
 #include "teasellead/entry/http_client.hpp"
@@ -15,20 +16,6 @@
 constexpr std::chrono::milliseconds report_timeout{3'000};
 constexpr unsigned status_ok = 200;
 
-endpoint parse_argument(const std::string& argument)
-{
-    constexpr int invalid_address_id = 206;
-    try
-    {
-        return endpoint::parse(argument);
-    }
-    catch (const protocol_error&)
-    {
-        throw settings_error(invalid_address_id,
-                             "operator address \"" + argument + "\" isn't an IP number with a port");
-    }
-}
-
 node_result fetch_report(const endpoint& node)
 {
     http_client client{node};
@@ -75,7 +62,7 @@
     std::vector<endpoint> nodes;
     for (const std::string& argument : arguments)
     {
-        nodes.push_back(parse_argument(argument));
+        nodes.push_back(parse_operator_address(argument));
     }
     const fleet_report report = fetch_reports(nodes);
     output << format_report(report);
--- a/packages/ctl/src/where_command.cpp
+++ b/packages/ctl/src/where_command.cpp
@@ -1,10 +1,9 @@
-#include <array>
 #include <cctype>
 #include <ostream>
 
+#include "detail/operator_address.hpp"
 #include "teasellead/ctl/commands.hpp"
 #include "teasellead/entry/http_client.hpp"
-#include "teasellead/kernel/exceptions.hpp"
 
 namespace teasellead
 {
@@ -15,20 +14,6 @@
 constexpr std::chrono::milliseconds answer_timeout{3'000};
 constexpr unsigned status_ok = 200;
 
-endpoint parse_node(const std::string& argument)
-{
-    constexpr int invalid_address_id = 206;
-    try
-    {
-        return endpoint::parse(argument);
-    }
-    catch (const protocol_error&)
-    {
-        throw settings_error(invalid_address_id,
-                             "operator address \"" + argument + "\" isn't an IP number with a port");
-    }
-}
-
 /// the value with all bytes but letters and digits percent-encoded
 std::string encoded(const std::string& value)
 {
@@ -53,7 +38,7 @@
 exit_code run_where(const command_arguments& arguments, std::ostream& output)
 {
     constexpr std::size_t account_index = 3;
-    http_client client{parse_node(arguments[0])};
+    http_client client{parse_operator_address(arguments[0])};
     std::string target = "/explain?host=" + encoded(arguments[1]) + "&path=" + encoded(arguments[2]);
     if (arguments.size() > account_index)
     {
--- a/packages/fleet/src/platform_read_schedule.cpp
+++ b/packages/fleet/src/platform_read_schedule.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "teasellead/kernel/hashing.hpp"
+#include "teasellead/kernel/scaled_duration.hpp"
 
 namespace teasellead
 {
@@ -17,11 +18,6 @@
     return rendezvous_score(hash64(host.data_centre(), reader_seed), host.peer().packed());
 }
 
-duration scaled(duration value, double factor)
-{
-    return std::chrono::duration_cast<duration>(value * factor);
-}
-
 /// a random duration, uniformly distributed between 0.5 and 1.5 times the value
 duration with_jitter(duration value, random_source& random)
 {
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -1,4 +1,5 @@
 #include "teasellead/forwarding/dispatch.hpp"
+#include "teasellead/kernel/scaled_duration.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -18,20 +19,14 @@
 // time for the response to reach the caller, and for the caller to connect before its request
 constexpr duration caller_network_time = milliseconds{16};
 
-duration fraction_of(duration whole, double fraction)
-{
-    return std::chrono::duration_cast<duration>(whole * fraction);
-}
-
 } // namespace
 
 dispatch::dispatch(dispatch_request request, dispatch_context& context, time_point now)
     : m_request(std::move(request)),
       m_profile(m_request.m_route, m_request.m_fingerprint, m_request.m_body_bytes), m_context(&context),
-      m_partial_from(m_request.m_arrived +
-                     std::max(m_request.m_objective - caller_network_time,
-                              fraction_of(m_request.m_objective, min_partial_fraction))),
-      m_capacity_wait_end(now + fraction_of(m_request.m_objective, capacity_wait_fraction)),
+      m_partial_from(m_request.m_arrived + std::max(m_request.m_objective - caller_network_time,
+                                                    scaled(m_request.m_objective, min_partial_fraction))),
+      m_capacity_wait_end(now + scaled(m_request.m_objective, capacity_wait_fraction)),
       m_sub_requests(m_request.m_services.size())
 {
 }
--- a/packages/forwarding/src/dispatch_work.cpp
+++ b/packages/forwarding/src/dispatch_work.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "teasellead/forwarding/dispatch.hpp"
+#include "teasellead/kernel/scaled_duration.hpp"
 
 namespace teasellead::forwarding
 {
@@ -13,22 +14,17 @@
 constexpr double max_hedge_fraction = 0.4;
 constexpr int overdue_factor = 2;
 
-duration fraction_of(duration whole, double fraction)
-{
-    return std::chrono::duration_cast<duration>(whole * fraction);
-}
-
 } // namespace
 
 duration dispatch::hedge_delay(const upstream_choice& choice) const
 {
-    const duration longest = fraction_of(m_request.m_objective, max_hedge_fraction);
+    const duration longest = scaled(m_request.m_objective, max_hedge_fraction);
     if (!choice.m_work.m_late_ratio)
     {
         return longest;
     }
     return std::clamp(choice.m_expected.late_after(*choice.m_work.m_late_ratio),
-                      fraction_of(m_request.m_objective, min_hedge_fraction), longest);
+                      scaled(m_request.m_objective, min_hedge_fraction), longest);
 }
 
 bool dispatch::is_overdue(const attempt_state& attempt, time_point now) const noexcept
--- a/packages/forwarding/src/expected_completion.cpp
+++ b/packages/forwarding/src/expected_completion.cpp
@@ -1,4 +1,5 @@
 #include "teasellead/forwarding/expected_completion.hpp"
+#include "teasellead/kernel/scaled_duration.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -32,11 +33,6 @@
 // at least this part of a latency counts as time that the request ran
 constexpr int min_run_divisor = 2;
 
-duration scaled(duration value, double factor) noexcept
-{
-    return std::chrono::duration_cast<duration>(value * factor);
-}
-
 /// this node's attempts in flight at one upstream; one that has run for longer than expected is one of the
 /// expensive requests of its kind
 struct own_attempts
--- a/packages/forwarding/src/upstream_candidates.cpp
+++ b/packages/forwarding/src/upstream_candidates.cpp
@@ -60,12 +60,7 @@
                                                                time_point now) const
 {
     std::vector<upstream_candidate> result;
-    const auto group = m_by_service.find(service);
-    if (group == m_by_service.end())
-    {
-        return result;
-    }
-    for (const shared_upstream& each : group->second)
+    for (const shared_upstream& each : upstreams_of(service))
     {
         result.push_back({each, state_of(*each, has_capacity, now),
                           expected_completion(*each, work, m_distances, m_has_connection, now)});
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -1,4 +1,5 @@
 #include "teasellead/forwarding/upstream_directory.hpp"
+#include "teasellead/kernel/scaled_duration.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -24,11 +25,6 @@
     return std::find(tried.begin(), tried.end(), candidate) != tried.end();
 }
 
-duration scaled(duration value, double factor) noexcept
-{
-    return std::chrono::duration_cast<duration>(value * factor);
-}
-
 /// keeps the best of the candidates, and the one that their place and number of attempts alone would select
 class candidate_selection
 {
@@ -258,12 +254,7 @@
 std::optional<time_point> upstream_directory::end_of_pause(const std::string& service, time_point now) const
 {
     std::optional<time_point> result;
-    const auto group = m_by_service.find(service);
-    if (group == m_by_service.end())
-    {
-        return result;
-    }
-    for (const shared_upstream& each : group->second)
+    for (const shared_upstream& each : upstreams_of(service))
     {
         if (may_receive(*each) && each->is_paused(now))
         {
@@ -310,15 +301,10 @@
                            std::span<const shared_upstream> tried, const capacity_check& has_capacity,
                            random_source& random, time_point now) const
 {
-    const auto group = m_by_service.find(service);
-    if (group == m_by_service.end())
-    {
-        return no_upstream::none_known;
-    }
     candidate_selection selection;
     candidate_selection without_share;
     no_upstream failure = no_upstream::none_known;
-    for (const shared_upstream& candidate : group->second)
+    for (const shared_upstream& candidate : upstreams_of(service))
     {
         if (!may_receive(*candidate) || candidate->is_ejected(now))
         {
@@ -360,12 +346,7 @@
 upstream_directory::expected_wait(const std::string& service, const work_estimate& work, time_point now) const
 {
     std::optional<completion_estimate> result;
-    const auto group = m_by_service.find(service);
-    if (group == m_by_service.end())
-    {
-        return result;
-    }
-    for (const shared_upstream& each : group->second)
+    for (const shared_upstream& each : upstreams_of(service))
     {
         if (!is_candidate(*each, now))
         {
@@ -388,21 +369,17 @@
 
 bool upstream_directory::has_candidates(const std::string& service, time_point now) const
 {
-    const auto group = m_by_service.find(service);
-    return group != m_by_service.end() &&
-           std::any_of(group->second.begin(), group->second.end(),
+    const std::span<const shared_upstream> listed = upstreams_of(service);
+    return std::any_of(listed.begin(), listed.end(),
                        [this, now](const shared_upstream& each) { return is_candidate(*each, now); });
 }
 
 std::vector<shared_upstream> upstream_directory::candidates(const std::string& service, time_point now) const
 {
     std::vector<shared_upstream> result;
-    const auto group = m_by_service.find(service);
-    if (group != m_by_service.end())
-    {
-        std::copy_if(group->second.begin(), group->second.end(), std::back_inserter(result),
-                     [this, now](const shared_upstream& each) { return is_candidate(*each, now); });
-    }
+    const std::span<const shared_upstream> listed = upstreams_of(service);
+    std::copy_if(listed.begin(), listed.end(), std::back_inserter(result),
+                 [this, now](const shared_upstream& each) { return is_candidate(*each, now); });
     return result;
 }
 
--- a/packages/routing/src/hedge_policy.cpp
+++ b/packages/routing/src/hedge_policy.cpp
@@ -7,6 +7,7 @@
 #include "teasellead/kernel/hashing.hpp"
 #include "teasellead/kernel/overloaded.hpp"
 #include "teasellead/kernel/registry.hpp"
+#include "teasellead/kernel/scaled_duration.hpp"
 
 namespace teasellead
 {
@@ -26,11 +27,6 @@
 constexpr std::uint32_t samples_per_update = 16;
 constexpr std::uint32_t settling_samples = 200;
 
-duration scaled(duration value, double factor)
-{
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::nano>{value} * factor);
-}
-
 const registration<hedging_rule> no_hedging_registration{"none", []
                                                          {
                                                              return hedging_rule{no_hedging{}};
--- a/packages/runtime/src/explain_request.cpp
+++ b/packages/runtime/src/explain_request.cpp
@@ -7,6 +7,7 @@
 
 #include "teasellead/kernel/fingerprint.hpp"
 #include "teasellead/kernel/overloaded.hpp"
+#include "text_response.hpp"
 
 namespace teasellead::runtime
 {
@@ -19,11 +20,6 @@
 constexpr unsigned not_found = 404;
 constexpr unsigned service_unavailable = 503;
 
-http_response text_response(unsigned status, std::string text)
-{
-    return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
-}
-
 /// decodes the percent-encoded bytes of a value; malformed ones are kept
 std::string decoded(std::string_view value)
 {
--- a/packages/runtime/src/operator_interface.cpp
+++ b/packages/runtime/src/operator_interface.cpp
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "explain_request.hpp"
+#include "text_response.hpp"
 
 namespace teasellead::runtime
 {
@@ -20,11 +21,6 @@
 // a shorter prefix of a fingerprint could match many requests
 constexpr std::size_t min_digits = 8;
 
-http_response text_response(unsigned status, std::string text)
-{
-    return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
-}
-
 std::string_view name_of(forwarding::request_restriction standing)
 {
     switch (standing)
