--- a/review/lab-2/lab.cpp
+++ b/review/lab-2/lab.cpp
@@ -627,29 +627,20 @@
             m_store->put("servers/" + instance, m_replicas.back()->entry("ready", 1));
         }
     }
-    const auto route = [](const std::string& name, const std::string& type, const std::string& service)
-    {
-        return "{\"name\":\"" + name + "\",\"hostname\":\"one.example\",\"prefix\":\"/" + name +
-               "/\",\"type\":\"" + type +
-               "\",\"timeoutMs\":4000,\"targetLatencyMs\":400,\"priority\":1,\"maxAttempts\":2,\"public\":false,"
-               "\"service\":\"" +
-               service + "\"}";
-    };
-    const auto service = [](const std::string& name)
-    {
-        return "{\"name\":\"" + name +
-               "\",\"healthCheckPath\":\"/healthz\",\"maxConnections\":31,\"protocol\":\"h1\",\"tls\":false,"
-               "\"warmupS\":3.0,\"warmupPerS\":0.0}";
-    };
+    configure(7, {}, {});
+}
+
+void deployment::configure(unsigned version, const std::string& routes, const std::string& services)
+{
     const auto tenant = [](const std::string& name, const std::string& key)
     {
         return "{\"name\":" + quoted(name) + ",\"apiKeys\":[" + quoted(key) +
                "],\"priority\":1,\"requestsPerS\":500,\"burstSize\":500}";
     };
     m_store->put("op/config",
-                 "{\"version\":7,\"routes\":[" + route("read", "idempotent", "svc-read") + "," +
-                     route("book", "non_idempotent", "svc-book") + "],\"services\":[" + service("svc-read") + "," +
-                     service("svc-book") +
+                 "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
+                     route("read", "idempotent", "svc-read") + "," + route("book", "non_idempotent", "svc-book") +
+                     routes + "],\"services\":[" + service("svc-read") + "," + service("svc-book") + services +
                      "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
                      "\"idleTimeoutMs\":15000},\"tenants\":[" +
                      tenant("school", school_key) + "," + tenant("club", club_key) + "]}");
@@ -687,7 +678,7 @@
            "\",\"region\":\"hcm\",\"zones\":{\"q1\":\"hcm\",\"thu-duc\":\"hcm\"},\"bindAddresses\":{\"front\":" +
            at(own, own.front) + ",\"readiness\":" + at(own, own.readiness) + ",\"control\":" + at(own, own.control) +
            "},\"internalPorts\":[7740,7755],\"seeds\":[" + seeds +
-           "],\"bootstrap\":true,\"lossCounted\":false,\"limits\":{\"cpuShare\":0.25,\"cpuCores\":1,\"memoryMb\":" +
+           "],\"bootstrap\":" + (m_is_bootstrap ? "true" : "false") + ",\"lossCounted\":false,\"limits\":{\"cpuShare\":0.25,\"cpuCores\":1,\"memoryMb\":" +
            std::to_string(memory_mb) +
            ",\"maxFds\":4100,\"bandwidthMbps\":1000.0,\"diskMb\":0},\"dataDir\":null,\"discovery\":\"platform\","
            "\"entryPoint\":\"vip\",\"heartbeatMs\":1200,\"policies\":[\"base\",\"drain\",\"config\",\"cost\",\"retry\","
@@ -703,6 +694,38 @@
            "\"minTtlMs\":1000}}";
 }
 
+void deployment::launch(unsigned number)
+{
+    m_nodes.at(number) = std::make_unique<node>(m_log, settings(number), m_addresses[number], m_folder,
+                                                "node-" + std::to_string(number));
+}
+
+void deployment::kill_all(milliseconds down)
+{
+    m_is_bootstrap = false;
+    m_log.line("all nodes are killed");
+    for (const auto& each : m_nodes)
+    {
+        each->signal(SIGKILL);
+    }
+    for (auto& each : m_nodes)
+    {
+        each.reset();
+    }
+    std::this_thread::sleep_for(down);
+    for (unsigned number = 0; number < m_nodes.size(); ++number)
+    {
+        launch(number);
+    }
+    for (const auto& each : m_nodes)
+    {
+        if (!each->wait_ready(milliseconds{15'000}))
+        {
+            throw std::runtime_error("a node didn't become ready again");
+        }
+    }
+}
+
 void deployment::start(unsigned nodes)
 {
     constexpr int first_host = 10;
@@ -712,10 +735,10 @@
         next.ip = m_net + std::to_string(first_host + static_cast<int>(number));
         m_addresses.push_back(next);
     }
+    m_nodes.resize(nodes);
     for (unsigned number = 0; number < nodes; ++number)
     {
-        m_nodes.push_back(std::make_unique<node>(m_log, settings(number), m_addresses[number], m_folder,
-                                                 "node-" + std::to_string(number)));
+        launch(number);
     }
     for (const auto& each : m_nodes)
     {
@@ -740,6 +763,22 @@
     return result;
 }
 
+std::string route(const std::string& name, const std::string& type, const std::string& service)
+{
+    return "{\"name\":" + quoted(name) + ",\"hostname\":\"one.example\",\"prefix\":" + quoted("/" + name + "/") +
+           ",\"type\":" + quoted(type) +
+           ",\"timeoutMs\":4000,\"targetLatencyMs\":400,\"priority\":1,\"maxAttempts\":2,\"public\":false,"
+           "\"service\":" +
+           quoted(service) + "}";
+}
+
+std::string service(const std::string& name)
+{
+    return "{\"name\":" + quoted(name) +
+           ",\"healthCheckPath\":\"/healthz\",\"maxConnections\":31,\"protocol\":\"h1\",\"tls\":false,"
+           "\"warmupS\":3.0,\"warmupPerS\":0.0}";
+}
+
 bool has_trouble()
 {
     const char* const value = std::getenv("TROUBLE");
--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -209,18 +209,26 @@
     ~deployment();
     /// starts the nodes; throws if they don't become ready
     void start(unsigned nodes);
+    /// kills all nodes at once and starts them again after a pause
+    void kill_all(milliseconds down);
     /// all runs at all replicas
     std::vector<run> runs();
     [[nodiscard]] const node_address& address(unsigned number) const { return m_addresses.at(number); }
     node& at(unsigned number) { return *m_nodes.at(number); }
     store& platform() { return *m_store; }
+    /// the first three bytes of the addresses, with a dot at the end
+    [[nodiscard]] const std::string& net() const { return m_net; }
+    /// writes a configuration with more routes and services, which begin with a comma
+    void configure(unsigned version, const std::string& routes, const std::string& services);
     /// memory of a machine, as the settings tell it
     static constexpr long memory_mb = 260;
 
   private:
     [[nodiscard]] std::string settings(unsigned number) const;
+    void launch(unsigned number);
 
     record& m_log;
+    bool m_is_bootstrap{true};
     std::string m_net;
     std::string m_folder;
     std::unique_ptr<store> m_store;
@@ -229,6 +237,12 @@
     std::vector<std::unique_ptr<node>> m_nodes;
 };
 
+/// a route of the configuration
+std::string route(const std::string& name, const std::string& type, const std::string& service);
+
+/// a service of the configuration
+std::string service(const std::string& name);
+
 /// whether the case's disruption is to be applied (TROUBLE isn't 0)
 bool has_trouble();
 
