--- a/review/lab-2/lab.cpp
+++ b/review/lab-2/lab.cpp
@@ -26,6 +26,7 @@
 constexpr int store_port = 8361;
 constexpr int first_replica_port = 9000;
 constexpr int watch_step_ms = 20;
+constexpr std::size_t longest_kept_body = 4096; // of the record of a run
 
 std::string lower(std::string text)
 {
@@ -447,9 +448,9 @@
 }
 
 replica::replica(record& log, const std::string& ip, int port, std::string instance, std::string service,
-                 std::string zone, milliseconds work)
+                 std::string zone, milliseconds work, bool logs_runs)
     : m_log(log), m_ip(ip), m_port(port), m_instance(std::move(instance)), m_service(std::move(service)),
-      m_zone(std::move(zone)), m_work(work),
+      m_zone(std::move(zone)), m_work(work), m_logs_runs(logs_runs),
       m_born(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()),
       m_server(std::make_unique<server>(ip, port, [this](connection& caller) { handle(caller); }))
 {
@@ -498,11 +499,14 @@
         }
         {
             const std::scoped_lock lock{m_mutex};
-            m_runs.push_back({id, asked->field("Tenant-Id"), asked->method(), asked->target(), asked->body,
-                              m_instance});
+            m_runs.push_back({id, asked->field("Tenant-Id"), asked->method(), asked->target(),
+                              asked->body.substr(0, longest_kept_body), m_instance});
+        }
+        if (m_logs_runs)
+        {
+            m_log.line("replica " + m_instance + " runs " + asked->method() + " " + asked->target() + " id=" + id +
+                       " tenant=" + asked->field("Tenant-Id") + " body=" + std::to_string(asked->body.size()) + " bytes " + asked->body.substr(0, 40));
         }
-        m_log.line("replica " + m_instance + " runs " + asked->method() + " " + asked->target() + " id=" + id +
-                   " tenant=" + asked->field("Tenant-Id") + " body=" + asked->body.substr(0, 60));
         std::this_thread::sleep_for(m_work);
         if (!caller.send(response("200 OK", echo + "Server-Stamp: stamp." + m_instance + "." + id + "\r\n",
                                   "answer of " + m_instance + " to " + id)))
@@ -597,7 +601,7 @@
     return 0;
 }
 
-deployment::deployment(record& log, milliseconds work) : m_log(log)
+deployment::deployment(record& log, milliseconds work, bool logs_runs) : m_log(log)
 {
     std::random_device random;
     for (int tries = 0; tries < 50; ++tries)
@@ -623,7 +627,8 @@
         for (const std::string& zone : zones)
         {
             const std::string instance = "i-" + std::to_string(port);
-            m_replicas.push_back(std::make_unique<replica>(m_log, m_net + "2", port++, instance, service, zone, work));
+            m_replicas.push_back(std::make_unique<replica>(m_log, m_net + "2", port++, instance, service, zone, work,
+                                                             logs_runs));
             m_store->put("servers/" + instance, m_replicas.back()->entry("ready", 1));
         }
     }
@@ -726,6 +731,18 @@
     }
 }
 
+void deployment::restart(unsigned number, milliseconds down)
+{
+    m_is_bootstrap = false;
+    m_nodes.at(number).reset();
+    std::this_thread::sleep_for(down);
+    launch(number);
+    if (!m_nodes.at(number)->wait_ready(milliseconds{15'000}))
+    {
+        throw std::runtime_error("a node didn't become ready again");
+    }
+}
+
 void deployment::start(unsigned nodes)
 {
     constexpr int first_host = 10;
--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -144,7 +144,7 @@
 {
   public:
     replica(record& log, const std::string& ip, int port, std::string instance, std::string service,
-            std::string zone, milliseconds work);
+            std::string zone, milliseconds work, bool logs_runs);
     ~replica();
     [[nodiscard]] std::string entry(const std::string& state, std::uint64_t sequence) const;
     [[nodiscard]] const std::string& instance() const { return m_instance; }
@@ -160,6 +160,7 @@
     std::string m_service;
     std::string m_zone;
     milliseconds m_work;
+    bool m_logs_runs;
     std::int64_t m_born;
     std::mutex m_mutex;
     std::vector<run> m_runs;
@@ -205,12 +206,14 @@
 class deployment
 {
   public:
-    explicit deployment(record& log, milliseconds work = milliseconds{20});
+    explicit deployment(record& log, milliseconds work = milliseconds{20}, bool logs_runs = true);
     ~deployment();
     /// starts the nodes; throws if they don't become ready
     void start(unsigned nodes);
     /// kills all nodes at once and starts them again after a pause
     void kill_all(milliseconds down);
+    /// kills one node, if it still runs, and starts it again after a pause
+    void restart(unsigned number, milliseconds down);
     /// all runs at all replicas
     std::vector<run> runs();
     [[nodiscard]] const node_address& address(unsigned number) const { return m_addresses.at(number); }
@@ -228,7 +231,7 @@
     void launch(unsigned number);
 
     record& m_log;
-    bool m_is_bootstrap{true};
+    std::atomic<bool> m_is_bootstrap{true};
     std::string m_net;
     std::string m_folder;
     std::unique_ptr<store> m_store;
