--- a/review/lab-2/crowd.cpp
+++ b/review/lab-2/crowd.cpp
@@ -1,10 +1,7 @@
 // Many callers at once, each of which posts one request inside the limits; the head first, then the body.
-#include <algorithm>
-#include <csignal>
 #include <exception>
-#include <sys/resource.h>
 
-#include "lab.hpp"
+#include "memory.hpp"
 
 namespace
 {
@@ -21,10 +18,7 @@
 constexpr milliseconds down_time{600};
 constexpr milliseconds longest{80'000};
 constexpr int rounds = 4; // each begins with another quarter of the callers
-constexpr int ends_of_a_fault = 3;
-constexpr long kb_per_mb = 1024;
 constexpr int checks_every = 8; // requests
-constexpr rlim_t needed_files = 4000;
 constexpr int ordinary_posts = 3; // before each crowd, one after the other
 
 std::string head_of(const std::string& id)
@@ -34,32 +28,6 @@
            "\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
 }
 
-struct visit
-{
-    int ends{0};
-    int served{0};
-    int other{0};
-    int lost{0}; ///< callers whose connection ended without an answer when the process was killed
-    long most_kb{0};
-    bool failed{false};
-};
-
-/// the platform's part: a process that exceeds memoryMb is killed and started again
-bool kill_if_over(record& log, deployment& system, unsigned number, visit& result)
-{
-    const long used = system.at(number).memory_kb("VmRSS");
-    result.most_kb = std::max(result.most_kb, used);
-    if (used <= deployment::memory_mb * kb_per_mb)
-    {
-        return false;
-    }
-    ++result.ends;
-    log.line("node-" + std::to_string(number) + " holds " + std::to_string(used) + " kB, over its " +
-             std::to_string(deployment::memory_mb * kb_per_mb) + " kB: the platform kills it");
-    system.at(number).signal(SIGKILL);
-    return true;
-}
-
 /// requests of an ordinary caller, each on a connection of its own
 void post_ordinary(const node_address& front, const std::string& prefix, visit& result)
 {
@@ -126,15 +94,6 @@
     }
 }
 
-bool raise_file_limit()
-{
-    rlimit files{};
-    getrlimit(RLIMIT_NOFILE, &files);
-    files.rlim_cur = files.rlim_max;
-    setrlimit(RLIMIT_NOFILE, &files);
-    return files.rlim_max >= needed_files;
-}
-
 int play(record& log)
 {
     if (!raise_file_limit())
@@ -167,23 +126,15 @@
     {
         each.join();
     }
-    unsigned faulty = 0;
+    log.line("the replicas have run " + std::to_string(system.runs().size()) + " posts");
+    const unsigned faulty = report(log, visits);
     bool has_failed = false;
     int other = 0;
-    for (unsigned number = 0; number < visited; ++number)
+    for (const visit& each : visits)
     {
-        const visit& each = visits[number];
-        faulty += each.ends >= ends_of_a_fault ? 1 : 0;
         has_failed = has_failed || each.failed;
         other += each.other;
-        log.line("node-" + std::to_string(number) + ": " + std::to_string(each.served) + " posts served, " +
-                 std::to_string(each.other) + " not; most memory " + std::to_string(each.most_kb) + " kB of " +
-                 std::to_string(deployment::memory_mb * kb_per_mb) + " kB; ended for it " +
-                 std::to_string(each.ends) + " times, with " + std::to_string(each.lost) +
-                 " callers' requests half sent");
     }
-    log.line("the replicas have run " + std::to_string(system.runs().size()) + " posts");
-    log.line("Fault: on " + std::to_string(faulty) + " machines a process has ended by itself three times; two break it");
     if (faulty >= visited)
     {
         return broken;
