--- a/review/lab-2/lab.cpp
+++ b/review/lab-2/lab.cpp
@@ -780,12 +780,14 @@
     return result;
 }
 
-std::string route(const std::string& name, const std::string& type, const std::string& service)
+std::string route(const std::string& name, const std::string& type, const std::string& service,
+                  milliseconds timeout, milliseconds target_latency)
 {
     return "{\"name\":" + quoted(name) + ",\"hostname\":\"one.example\",\"prefix\":" + quoted("/" + name + "/") +
            ",\"type\":" + quoted(type) +
-           ",\"timeoutMs\":4000,\"targetLatencyMs\":400,\"priority\":1,\"maxAttempts\":2,\"public\":false,"
-           "\"service\":" +
+           ",\"timeoutMs\":" + std::to_string(timeout.count()) +
+           ",\"targetLatencyMs\":" + std::to_string(target_latency.count()) +
+           ",\"priority\":1,\"maxAttempts\":2,\"public\":false,\"service\":" +
            quoted(service) + "}";
 }
 
--- a/review/lab-2/lab.hpp
+++ b/review/lab-2/lab.hpp
@@ -241,7 +241,8 @@
 };
 
 /// a route of the configuration
-std::string route(const std::string& name, const std::string& type, const std::string& service);
+std::string route(const std::string& name, const std::string& type, const std::string& service,
+                  milliseconds timeout = milliseconds{4000}, milliseconds target_latency = milliseconds{400});
 
 /// a service of the configuration
 std::string service(const std::string& name);
