--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -1,6 +1,7 @@
 #include "standin_store.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
@@ -28,15 +29,61 @@
     return text;
 }
 
-std::string parameter(const std::string& target, const std::string& name)
+/// decodes a value of a query as forms are encoded: `+` is a blank
+std::string decoded(std::string_view text)
 {
-    const auto begin = target.find(name + "=");
-    if (begin == std::string::npos)
+    constexpr std::size_t digits = 2;
+    constexpr int hexadecimal = 16;
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i)
     {
-        return {};
+        unsigned code = 0;
+        const std::string_view rest = text.substr(i + 1, digits);
+        const auto end = std::from_chars(rest.data(), rest.data() + rest.size(), code, hexadecimal).ptr;
+        if (text[i] == '%' && rest.size() == digits && end == rest.data() + rest.size())
+        {
+            result.push_back(static_cast<char>(code));
+            i += digits;
+            continue;
+        }
+        result.push_back(text[i] == '+' ? ' ' : text[i]);
+    }
+    return result;
+}
+
+/// value of a parameter in the query of a target; a fragment isn't part of the query
+std::string parameter(std::string_view target, const std::string& name)
+{
+    target = target.substr(0, target.find('#'));
+    std::string_view query = target.substr(std::min(target.find('?'), target.size()));
+    while (!query.empty())
+    {
+        query.remove_prefix(1); // the question mark or ampersand
+        const std::string_view pair = query.substr(0, query.find('&'));
+        if (pair.starts_with(name + "="))
+        {
+            return decoded(pair.substr(name.size() + 1));
+        }
+        query.remove_prefix(pair.size());
+    }
+    return {};
+}
+
+/// JSON text of an item; bytes of its key that aren't UTF-8 are replaced
+std::string item_text(const std::string& key, const std::string& value, std::uint64_t revision)
+{
+    return json{{"key", key}, {"value", encode_base64(value)}, {"revision", revision}}.dump(
+        -1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string joined(const std::vector<std::string>& texts)
+{
+    std::string result;
+    for (const std::string& text : texts)
+    {
+        result += (result.empty() ? "" : ",") + text;
     }
-    const auto value = begin + name.size() + 1;
-    return target.substr(value, target.find('&', value) - value);
+    return result;
 }
 
 bool starts_with(const std::string& text, const std::string& prefix)
@@ -71,12 +118,22 @@
 
 void standin_store::put(const std::string& key, const std::string& value)
 {
-    m_thread.run([&] { change({key, value, false, 0}); });
+    m_thread.run([&] { change({key, value, {}, false, 0}); });
+}
+
+void standin_store::put_text(const std::string& key, const std::string& item)
+{
+    m_thread.run([&] { change({key, {}, item, false, 0}); });
 }
 
 void standin_store::remove(const std::string& key)
 {
-    m_thread.run([&] { change({key, {}, true, 0}); });
+    m_thread.run([&] { change({key, {}, {}, true, 0}); });
+}
+
+void standin_store::set_page_size(std::size_t items)
+{
+    m_thread.run([&] { m_page_size = items; });
 }
 
 void standin_store::set_mode(store_mode mode)
@@ -124,18 +181,25 @@
     }
 }
 
-http_response standin_store::range(const std::string& prefix) const
+std::string standin_store::text_of(const event& item)
 {
-    json items = json::array();
-    for (const auto& [key, item] : m_items)
+    return item.m_text.empty() ? item_text(item.m_key, item.m_value, item.m_revision) : item.m_text;
+}
+
+http_response standin_store::range(const std::string& prefix, const std::string& after) const
+{
+    std::vector<std::string> items;
+    auto next = after.empty() ? m_items.lower_bound(prefix) : m_items.upper_bound(std::max(prefix, after));
+    while (next != m_items.end() && starts_with(next->first, prefix) && items.size() < m_page_size)
     {
-        if (starts_with(key, prefix))
-        {
-            items.push_back(
-                {{"key", key}, {"value", encode_base64(item.m_value)}, {"revision", item.m_revision}});
-        }
+        items.push_back(text_of(next->second));
+        ++next;
     }
-    return {ok, {}, json{{"items", items}, {"hasMore", false}, {"asOf", m_revision}}.dump()};
+    const bool has_more = next != m_items.end() && starts_with(next->first, prefix);
+    return {ok,
+            {},
+            R"({"items":[)" + joined(items) + R"(],"hasMore":)" + (has_more ? "true" : "false") +
+                R"(,"asOf":)" + std::to_string(m_revision) + "}"};
 }
 
 http_response standin_store::events(const std::string& prefix, std::uint64_t after) const
@@ -144,24 +208,19 @@
     {
         return {gone, {}, {}};
     }
-    json found = json::array();
+    std::vector<std::string> found;
     for (const event& each : m_history)
     {
         if (each.m_revision <= after || !starts_with(each.m_key, prefix))
         {
             continue;
         }
-        if (each.m_is_removed)
-        {
-            found.push_back({{"key", each.m_key}, {"revision", each.m_revision}, {"removed", true}});
-        }
-        else
-        {
-            found.push_back(
-                {{"key", each.m_key}, {"value", encode_base64(each.m_value)}, {"revision", each.m_revision}});
-        }
+        found.push_back(
+            each.m_is_removed
+                ? json{{"key", each.m_key}, {"revision", each.m_revision}, {"removed", true}}.dump()
+                : text_of(each));
     }
-    return {ok, {}, json{{"events", found}, {"asOf", m_revision}}.dump()};
+    return {ok, {}, R"({"events":[)" + joined(found) + R"(],"asOf":)" + std::to_string(m_revision) + "}"};
 }
 
 runtime::disconnect_callback standin_store::take(const http_request& request,
@@ -180,7 +239,7 @@
     const std::string prefix = parameter(request.m_target, "prefix");
     if (starts_with(request.m_target, "/api/kv-range"))
     {
-        respond(range(prefix));
+        respond(range(prefix, parameter(request.m_target, "after")));
         return {};
     }
     const std::uint64_t after = std::stoull(parameter(request.m_target, "after"));
--- a/tests/support/standin_store.hpp
+++ b/tests/support/standin_store.hpp
@@ -23,7 +23,7 @@
     silent    ///< sends no reply
 };
 
-/// stand-in for the platform's store: items with revisions that can be read and watched for changes
+/// stand-in for the platform's store: items with revisions that can be read in pages and watched for changes
 class standin_store
 {
   public:
@@ -35,11 +35,17 @@
     /// writes an item and waits until it is written
     void put(const std::string& key, const std::string& value);
 
+    /// writes an item that is listed, and sent to watches, as the given JSON text
+    void put_text(const std::string& key, const std::string& item);
+
     /// removes an item
     void remove(const std::string& key);
 
     void set_mode(store_mode mode);
 
+    /// sets the largest number of items of a page
+    void set_page_size(std::size_t items);
+
     /// drops the history of changes; watches that need it get the reply 410
     void drop_history();
 
@@ -54,6 +60,7 @@
     {
         std::string m_key;
         std::string m_value;
+        std::string m_text; ///< JSON text of the whole item; empty for an item as the store writes it
         bool m_is_removed{false};
         std::uint64_t m_revision{0};
     };
@@ -70,12 +77,14 @@
                                       const runtime::respond_function& respond);
     void change(const event& next);
     void answer_watches();
-    [[nodiscard]] runtime::http_response range(const std::string& prefix) const;
+    [[nodiscard]] static std::string text_of(const event& item);
+    [[nodiscard]] runtime::http_response range(const std::string& prefix, const std::string& after) const;
     [[nodiscard]] runtime::http_response events(const std::string& prefix, std::uint64_t after) const;
 
     runtime::loop_thread& m_thread;
     std::map<std::string, event> m_items;
     std::vector<event> m_history;
+    std::size_t m_page_size{500};
     std::uint64_t m_revision{10};
     std::uint64_t m_history_from{10};
     store_mode m_mode{store_mode::up};
