Percent-encoding stands in the kernel, for all that write or read queries

Change: percent_encoded and percent_decoded in the kernel; both places use them. No change of behaviour for operators: the node decodes either spelling.

--- a/packages/ctl/src/where_command.cpp
+++ b/packages/ctl/src/where_command.cpp
@@ -1,9 +1,9 @@
-#include <cctype>
 #include <ostream>
 
 #include "detail/operator_address.hpp"
 #include "teasellead/ctl/commands.hpp"
 #include "teasellead/entry/http_client.hpp"
+#include "teasellead/kernel/percent_encoding.hpp"
 
 namespace teasellead
 {
@@ -14,35 +14,17 @@
 constexpr std::chrono::milliseconds answer_timeout{3'000};
 constexpr unsigned status_ok = 200;
 
-/// the value with all bytes but letters and digits percent-encoded
-std::string encoded(const std::string& value)
-{
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    constexpr unsigned base = 16;
-    std::string result;
-    for (const char each : value)
-    {
-        const auto code = static_cast<unsigned char>(each);
-        if (std::isalnum(code) != 0)
-        {
-            result.push_back(each);
-            continue;
-        }
-        result += {'%', digits[code / base], digits[code % base]};
-    }
-    return result;
-}
-
 } // namespace
 
 exit_code run_where(const command_arguments& arguments, std::ostream& output)
 {
     constexpr std::size_t account_index = 3;
     http_client client{parse_operator_address(arguments[0])};
-    std::string target = "/explain?host=" + encoded(arguments[1]) + "&path=" + encoded(arguments[2]);
+    std::string target =
+        "/explain?host=" + percent_encoded(arguments[1]) + "&path=" + percent_encoded(arguments[2]);
     if (arguments.size() > account_index)
     {
-        target += "&account=" + encoded(arguments[account_index]);
+        target += "&account=" + percent_encoded(arguments[account_index]);
     }
     const std::optional<runtime::http_response> response = client.get(target, answer_timeout);
     if (!response)
--- a/packages/runtime/src/explain_request.cpp
+++ b/packages/runtime/src/explain_request.cpp
@@ -1,12 +1,12 @@
 #include "explain_request.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <sstream>
 #include <vector>
 
 #include "teasellead/kernel/fingerprint.hpp"
 #include "teasellead/kernel/overloaded.hpp"
+#include "teasellead/kernel/percent_encoding.hpp"
 #include "text_response.hpp"
 
 namespace teasellead::runtime
@@ -20,24 +20,6 @@
 constexpr unsigned not_found = 404;
 constexpr unsigned service_unavailable = 503;
 
-/// decodes the percent-encoded bytes of a value; malformed ones are kept
-std::string decoded(std::string_view value)
-{
-    constexpr std::size_t digits = 2;
-    constexpr int hexadecimal = 16;
-    std::string result;
-    for (std::size_t i = 0; i < value.size(); ++i)
-    {
-        unsigned code = 0;
-        const std::string_view rest = value.substr(std::min(i + 1, value.size()), digits);
-        const auto end = std::from_chars(rest.data(), rest.data() + rest.size(), code, hexadecimal).ptr;
-        const bool is_encoded = value[i] == '%' && rest.size() == digits && end == rest.data() + rest.size();
-        result.push_back(is_encoded ? static_cast<char>(code) : value[i]);
-        i += is_encoded ? digits : 0;
-    }
-    return result;
-}
-
 /// the value of a name in a query; empty if it is missing
 std::string value_of(std::string_view query, std::string_view name)
 {
@@ -47,7 +29,7 @@
         const std::string_view pair = query.substr(0, end);
         if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
         {
-            return decoded(pair.substr(name.size() + 1));
+            return percent_decoded(pair.substr(name.size() + 1));
         }
         query.remove_prefix(std::min(end + 1, query.size()));
     }
