--- a/tests/unit/store-reader/unit-store-reader.cpp
+++ b/tests/unit/store-reader/unit-store-reader.cpp
@@ -161,6 +161,9 @@
 {
     CPPUNIT_TEST_SUITE(store_reader_test);
     CPPUNIT_TEST(odd_names_end_no_listing);
+    CPPUNIT_TEST(pages_without_progress_are_no_end_of_a_listing);
+    CPPUNIT_TEST(endless_pages_are_not_collected);
+    CPPUNIT_TEST(odd_answers_are_repeated);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -211,6 +214,82 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, failed);
     }
 
+    // guards against a listing that is taken for complete: the upstreams of its later pages would be dropped
+    void pages_without_progress_are_no_end_of_a_listing()
+    {
+        const std::string empty = R"({"items":[],"hasMore":true,"asOf":20})";
+        const std::string first = page_of({"servers/a"}, true);
+        const std::string second = page_of({"servers/z"}, false);
+        const std::vector<std::vector<std::string>> rows{
+            {operator_page(), empty, first, second},
+            {operator_page(), first, empty, second},
+            {empty, operator_page(), first, second},
+            {operator_page(), first, first, second},
+            {operator_page(), first, page_of({"servers/A"}, true), second},
+            {operator_page(), first, R"({"items":[{"value":"e30="}],"hasMore":true,"asOf":20})", second},
+        };
+        for (const auto& bodies : rows)
+        {
+            const auto next = std::make_shared<std::size_t>(0);
+            scripted_server store{m_thread, store_address,
+                                  [&bodies, next](const std::string&)
+                                  {
+                                      const std::size_t number = std::min(*next, bodies.size() - 1);
+                                      ++*next;
+                                      return answer_of(bodies[number]);
+                                  }};
+            started_reader reader{store_address};
+            const auto listed = reader.sink().wait_for_listing(enough);
+            CPPUNIT_ASSERT(holds(listed, "servers/a", entry_text));
+            CPPUNIT_ASSERT(holds(listed, "servers/z", entry_text));
+        }
+    }
+
+    void endless_pages_are_not_collected()
+    {
+        const std::string same = page_of({"servers/a"}, true);
+        scripted_server store{m_thread, store_address,
+                              [&same](const std::string& head)
+                              {
+                                  return answer_of(is_for_upstreams(head) ? same : operator_page());
+                              }};
+        started_reader reader{store_address};
+        CPPUNIT_ASSERT(!reader.sink().wait_for_listing(1500ms));
+        CPPUNIT_ASSERT(reader.calls() < 20);
+    }
+
+    void odd_answers_are_repeated()
+    {
+        const std::string body = page_of({"servers/a", "servers/z"}, false);
+        const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        const std::vector<std::string> answers{
+            "HTTP/1.1 000 Odd\r\n" + length + "\r\n" + body,
+            "HTTP/1.1 099 Odd\r\n" + length + "\r\n" + body,
+            "HTTP/1.1 600 Odd\r\n" + length + "\r\n" + body,
+            "HTTP/1.1 100 Continue\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nOdd Name: x\r\n" + length + "\r\n" + body,
+            "HTTP/1.1 200 OK\r\nOdd: x\r\n folded\r\n" + length + "\r\n" + body,
+            "HTTP/1.1 200 OK\r\n" + length + "Content-Length: 1\r\n\r\n" + body,
+        };
+        for (const std::string& odd : answers)
+        {
+            const auto is_first = std::make_shared<bool>(true);
+            scripted_server store{m_thread, store_address,
+                                  [&, is_first](const std::string& head)
+                                  {
+                                      if (!is_for_upstreams(head))
+                                      {
+                                          return answer_of(operator_page());
+                                      }
+                                      return std::exchange(*is_first, false) ? scripted_answer{odd}
+                                                                             : answer_of(body);
+                                  }};
+            started_reader reader{store_address};
+            const auto listed = reader.sink().wait_for_listing(enough);
+            CPPUNIT_ASSERT_MESSAGE(odd, holds(listed, "servers/z", entry_text));
+        }
+    }
+
   private:
     /// items that name no upstream, as JSON text
     static std::vector<std::string> odd_items()
