--- a/tests/process/process-odd-entries.cpp
+++ b/tests/process/process-odd-entries.cpp
@@ -39,6 +39,7 @@
 {
     CPPUNIT_TEST_SUITE(odd_entries_test);
     CPPUNIT_TEST(restarted_nodes_serve_beside_odd_names);
+    CPPUNIT_TEST(entries_with_odd_values_get_no_request);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -50,6 +51,57 @@
                              names_that_stop_restarted_nodes({"m&n", "m+n", "m#n", "m%41n", "m n"}));
     }
 
+    /// a copy of an upstream's entry with figures that no upstream has, at an address where nobody listens
+    void entries_with_odd_values_get_no_request()
+    {
+        struct row
+        {
+            const char* m_field;
+            json m_value;
+        };
+        const std::vector<row> rows{{"capacity", -1},
+                                    {"capacity", 4294967297ULL},
+                                    {"capacity", 2.5},
+                                    {"capacity", 1e300},
+                                    {"capacity", true},
+                                    {"sequence", -4},
+                                    {"sequence", 1.5},
+                                    {"sequence", 1e300},
+                                    {"warmupRemainingMs", -5},
+                                    {"warmupRemainingMs", 9223372036854775807ULL},
+                                    {"warmupRemainingMs", 18446744073709551615ULL},
+                                    {"warmupRemainingMs", "5"},
+                                    {"born", -1},
+                                    {"born", 1.5},
+                                    {"born", 18446744073709551615ULL},
+                                    {"state", "resting"},
+                                    {"zone", 7}};
+        std::string failed;
+        platform_fleet fleet{net};
+        counting_host trap;
+        const std::string readable = fleet.single_upstreams().front()->entry("ready", 1, trap.address());
+        fleet.start_node(1);
+        int number = 0;
+        for (const row& each : rows)
+        {
+            const std::string name = "odd-" + std::to_string(++number);
+            json entry = json::parse(readable);
+            entry[each.m_field] = each.m_value;
+            fleet.store().put("servers/" + name, entry.dump());
+            CPPUNIT_ASSERT(is_read_soon(fleet, name));
+            const answer_counts counts = send(fleet, 1, "GET", "/read/x");
+            const bool is_ignored = trap.take_requests() == 0 && counts.m_served == request_count;
+            failed += is_ignored ? "" : std::string{each.m_field} + "=" + each.m_value.dump() + " ";
+            fleet.store().remove("servers/" + name);
+        }
+        // a readable entry at the same address gets requests
+        fleet.store().put("servers/readable", readable);
+        CPPUNIT_ASSERT(is_read_soon(fleet, "readable"));
+        (void)send(fleet, 1, "GET", "/read/x");
+        CPPUNIT_ASSERT(trap.take_requests() > 0);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, failed);
+    }
+
   private:
     /// a host of another service, which counts the requests that reach it
     class counting_host
--- a/tests/unit/platform/unit-decode.cpp
+++ b/tests/unit/platform/unit-decode.cpp
@@ -52,6 +52,8 @@
     CPPUNIT_TEST(bad_configurations_are_refused);
     CPPUNIT_TEST(upstream_is_read_completely);
     CPPUNIT_TEST(unusable_entries_yield_no_upstream);
+    CPPUNIT_TEST(figures_out_of_range_yield_no_upstream);
+    CPPUNIT_TEST(whole_figures_may_have_decimals);
     CPPUNIT_TEST(pages_of_the_store);
     CPPUNIT_TEST(bad_pages_are_refused);
     CPPUNIT_TEST(items_are_distinguished_by_their_keys);
@@ -127,6 +129,8 @@
             replaced(valid_upstream, "\"capacity\":3", "\"capacity\":\"3\""),
             replaced(valid_upstream, "\"zone\":\"q1\"", "\"zone\":null"),
             replaced(valid_upstream, "\"born\":1700000000123", "\"born\":\"today\""),
+            std::string(100'000, '[') + std::string(100'000, ']'),
+            replaced(valid_upstream, "\"version\":\"v1\"", "\"version\":\"\xff\""),
         };
         for (const std::string& value : values)
         {
@@ -135,6 +139,42 @@
         }
     }
 
+    // guards against figures that wrap or lose their fraction: an upstream with four billion slots gets
+    // every request
+    void figures_out_of_range_yield_no_upstream()
+    {
+        struct row
+        {
+            std::string m_part;
+            std::vector<std::string> m_values;
+        };
+        const std::vector<row> rows{
+            {"\"capacity\":3", {"-1", "4294967296", "2.5", "1e300", "true", "null", "[3]"}},
+            {"\"sequence\":4", {"-1", "18446744073709551616", "4.5", "1e300", "false", "\"4\""}},
+            {"\"warmupRemainingMs\":250", {"-1", "-0.5", "9223372036854775807", "1e300", "true", "\"250\""}},
+            {"\"born\":1700000000123", {"-1", "9223372036854775808", "1.5", "1e300", "true", "null"}},
+        };
+        for (const row& each : rows)
+        {
+            const std::string name = each.m_part.substr(0, each.m_part.find(':') + 1);
+            for (const std::string& value : each.m_values)
+            {
+                const std::string entry = replaced(valid_upstream, each.m_part, name + value);
+                CPPUNIT_ASSERT_MESSAGE(name + value, !decode_upstream("servers/i-1", entry).m_entry);
+            }
+        }
+    }
+
+    void whole_figures_may_have_decimals()
+    {
+        const std::string entry =
+            replaced(replaced(replaced(valid_upstream, "\"capacity\":3", "\"capacity\":3.0"),
+                              "\"warmupRemainingMs\":250", "\"warmupRemainingMs\":249.5"),
+                     "\"born\":1700000000123", "\"born\":1700000000123.0");
+        CPPUNIT_ASSERT(decode_upstream("servers/i-1", entry) ==
+                       decode_upstream("servers/i-1", valid_upstream));
+    }
+
     void pages_of_the_store()
     {
         const store_page range = decode_page(
