--- a/tests/process/process-odd-entries.cpp
+++ b/tests/process/process-odd-entries.cpp
@@ -40,6 +40,8 @@
     CPPUNIT_TEST_SUITE(odd_entries_test);
     CPPUNIT_TEST(restarted_nodes_serve_beside_odd_names);
     CPPUNIT_TEST(entries_with_odd_values_get_no_request);
+    CPPUNIT_TEST(names_that_cannot_be_sent_get_no_request);
+    CPPUNIT_TEST(second_name_of_an_upstream_fails_no_request);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -102,6 +104,45 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, failed);
     }
 
+    // guards against names that add lines to the heads of requests
+    void names_that_cannot_be_sent_get_no_request()
+    {
+        counting_host trap;
+        platform_fleet fleet{net};
+        const std::string readable = fleet.single_upstreams().front()->entry("ready", 1, trap.address());
+        for (const std::string name :
+             {"", " m", "m ", "m n", "m\tn", "m\r\nX-Odd: 1", "m\x01", "m\x7f", "m\u00e9"})
+        {
+            fleet.store().put("servers/" + name, readable);
+        }
+        fleet.start_node(1);
+        const answer_counts counts = send(fleet, 1, "POST", "/book/x");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, trap.take_requests());
+        CPPUNIT_ASSERT_EQUAL(request_count, counts.m_served);
+    }
+
+    /// the address of a live upstream, which answers 421 to requests for another one
+    void second_name_of_an_upstream_fails_no_request()
+    {
+        std::string failed;
+        for (const std::string name : {"copy", "m&+#%"})
+        {
+            for (const std::int64_t born : {std::int64_t{0}, std::int64_t{1}, std::int64_t{1} << 62})
+            {
+                platform_fleet fleet{net};
+                json entry = json::parse(fleet.single_upstreams().front()->entry("ready", 1));
+                entry["born"] = born;
+                fleet.store().put("servers/" + name, entry.dump());
+                fleet.start_node(1);
+                const answer_counts all{request_count, 0, 0};
+                const bool is_right =
+                    send(fleet, 1, "GET", "/read/x") == all && send(fleet, 1, "POST", "/book/x") == all;
+                failed += is_right ? "" : name + " born " + std::to_string(born) + ", ";
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{}, failed);
+    }
+
   private:
     /// a host of another service, which counts the requests that reach it
     class counting_host
--- a/tests/unit/platform/unit-decode.cpp
+++ b/tests/unit/platform/unit-decode.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(unusable_entries_yield_no_upstream);
     CPPUNIT_TEST(figures_out_of_range_yield_no_upstream);
     CPPUNIT_TEST(whole_figures_may_have_decimals);
+    CPPUNIT_TEST(names_that_cannot_be_sent_yield_no_upstream);
     CPPUNIT_TEST(pages_of_the_store);
     CPPUNIT_TEST(bad_pages_are_refused);
     CPPUNIT_TEST(items_are_distinguished_by_their_keys);
@@ -175,6 +176,21 @@
                        decode_upstream("servers/i-1", valid_upstream));
     }
 
+    // guards against names that would add lines to the head of a request
+    void names_that_cannot_be_sent_yield_no_upstream()
+    {
+        for (const std::string name : {"", " ", "i 1", " i-1", "i-1 ", "i\t1", "i-1\r\nX: y", "i-1\n",
+                                       "i\x01", "i\x7f", "i\xff", "i\u00e9"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(name, (decode_upstream("servers/" + name, valid_upstream) ==
+                                          forwarding::directory_item{name, std::nullopt}));
+        }
+        for (const std::string name : {"i-1", "i/1", "i&+#%1", "~!"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(name, decode_upstream("servers/" + name, valid_upstream).m_entry);
+        }
+    }
+
     void pages_of_the_store()
     {
         const store_page range = decode_page(
