--- a/tests/unit/store-reader/unit-store-reader.cpp
+++ b/tests/unit/store-reader/unit-store-reader.cpp
@@ -170,6 +170,7 @@
     CPPUNIT_TEST(pages_without_progress_are_no_end_of_a_listing);
     CPPUNIT_TEST(endless_pages_are_not_collected);
     CPPUNIT_TEST(odd_answers_are_repeated);
+    CPPUNIT_TEST(watch_that_cannot_be_read_is_replaced_by_a_listing);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -417,6 +418,26 @@
         }
     }
 
+    // guards against a watch that is repeated although its answer, which holds the same events, is always too
+    // long
+    void watch_that_cannot_be_read_is_replaced_by_a_listing()
+    {
+        standin_store store{m_thread, store_address};
+        fill(store, 500);
+        started_reader reader{store_address};
+        CPPUNIT_ASSERT(reader.sink().wait_for_listing(enough));
+        reader.sink().forget_listing();
+        store.set_mode(store_mode::silent);
+        const std::string large(1'000'000, 'x');
+        for (int change = 0; change < 20; ++change)
+        {
+            store.put("servers/large", large);
+        }
+        store.put("servers/later", entry_text);
+        store.set_mode(store_mode::up);
+        CPPUNIT_ASSERT(holds(reader.sink().wait_for_listing(2 * enough), "servers/later", entry_text));
+    }
+
   private:
     /// items that name no upstream, as JSON text
     static std::vector<std::string> odd_items()
