An entry with an address of the node itself names no upstream

The node sent requests to itself, without the key that they came with, answered them with 401, and gave the caller of a booking 502, since such an answer doesn't prove that nothing ran.

Cause: nothing compared the address of an entry with the node's own.

Change: publication_agent takes the entry off an item whose address is one of the node's four listen addresses.

Another node's address for callers isn't known to a node and isn't covered: its first requests there fail until it counts as out of order.

Why it works: an upstream can't listen where the node does.

--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -1,6 +1,7 @@
 #include "publication_agent.hpp"
 
 #include <algorithm>
+#include <array>
 #include <sstream>
 
 #include "teasellead/kernel/exceptions.hpp"
@@ -28,6 +29,19 @@
     return result;
 }
 
+/// the item without its entry if that has an address of this node, to which its own requests would come back
+forwarding::directory_item without_own_address(forwarding::directory_item item,
+                                               const forwarding_settings& settings)
+{
+    const std::array<endpoint, 4> own{settings.m_caller_address, settings.m_readiness_address,
+                                      settings.m_peer_address, settings.m_metrics_address};
+    if (item.m_entry && std::find(own.begin(), own.end(), item.m_entry->m_address) != own.end())
+    {
+        item.m_entry.reset();
+    }
+    return item;
+}
+
 std::string state_of(const forwarding::directory_item& item)
 {
     if (!item.m_entry)
@@ -201,47 +215,49 @@
 void publication_agent::apply(const published_item& item, std::string_view origin)
 {
     publication meaning = m_platform.decode(item);
-    std::visit(
-        overloaded{[](const irrelevant_item&) {},
-                   [this, &item, origin](forwarding::declarations& next)
-                   {
-                       m_has_invalid_item = false;
-                       // a change that was published before the last confirmation is known already
-                       m_on_declarations({std::move(next), item.m_revision, origin,
-                                          m_configuration_lease.age(m_clock.now())});
-                   },
-                   [this](const upstream_published& each)
-                   {
-                       m_directory.on_change(each.m_item, m_clock.now());
-                       m_log.write(log_level::info, "upstream",
-                                   {{"instance", each.m_item.m_instance},
-                                    {"service", each.m_item.m_entry ? each.m_item.m_entry->m_service : ""},
-                                    {"state", state_of(each.m_item)}});
-                   },
-                   [this](const upstream_withdrawn& each)
-                   {
-                       const bool keeps = is_in_expiry_grace();
-                       m_has_expired_entries = m_has_expired_entries || keeps;
-                       m_directory.on_removed(each.m_instance, keeps);
-                       m_log.write(log_level::info, "upstream",
-                                   {{"instance", each.m_instance}, {"state", keeps ? "lapsed" : "removed"}});
-                   },
-                   [this](const data_centre_evacuated& each)
-                   {
-                       if (each.m_is_evacuated)
-                       {
-                           m_evacuated.insert(each.m_data_centre);
-                       }
-                       else
-                       {
-                           m_evacuated.erase(each.m_data_centre);
-                       }
-                       m_directory.set_evacuated(m_evacuated);
-                       m_log.write(log_level::info, "evacuation",
-                                   {{"data_centre", each.m_data_centre},
-                                    {"state", each.m_is_evacuated ? "evacuated" : "taken_back"}});
-                   }},
-        meaning);
+    std::visit(overloaded{[](const irrelevant_item&) {},
+                          [this, &item, origin](forwarding::declarations& next)
+                          {
+                              m_has_invalid_item = false;
+                              // a change that was published before the last confirmation is known already
+                              m_on_declarations({std::move(next), item.m_revision, origin,
+                                                 m_configuration_lease.age(m_clock.now())});
+                          },
+                          [this](const upstream_published& each)
+                          {
+                              const forwarding::directory_item usable =
+                                  without_own_address(each.m_item, m_platform.settings());
+                              m_directory.on_change(usable, m_clock.now());
+                              m_log.write(log_level::info, "upstream",
+                                          {{"instance", usable.m_instance},
+                                           {"service", usable.m_entry ? usable.m_entry->m_service : ""},
+                                           {"state", state_of(usable)}});
+                          },
+                          [this](const upstream_withdrawn& each)
+                          {
+                              const bool keeps = is_in_expiry_grace();
+                              m_has_expired_entries = m_has_expired_entries || keeps;
+                              m_directory.on_removed(each.m_instance, keeps);
+                              m_log.write(
+                                  log_level::info, "upstream",
+                                  {{"instance", each.m_instance}, {"state", keeps ? "lapsed" : "removed"}});
+                          },
+                          [this](const data_centre_evacuated& each)
+                          {
+                              if (each.m_is_evacuated)
+                              {
+                                  m_evacuated.insert(each.m_data_centre);
+                              }
+                              else
+                              {
+                                  m_evacuated.erase(each.m_data_centre);
+                              }
+                              m_directory.set_evacuated(m_evacuated);
+                              m_log.write(log_level::info, "evacuation",
+                                          {{"data_centre", each.m_data_centre},
+                                           {"state", each.m_is_evacuated ? "evacuated" : "taken_back"}});
+                          }},
+               meaning);
 }
 
 } // namespace teasellead::runtime
--- a/tests/process/process-odd-entries.cpp
+++ b/tests/process/process-odd-entries.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(entries_with_odd_values_get_no_request);
     CPPUNIT_TEST(names_that_cannot_be_sent_get_no_request);
     CPPUNIT_TEST(second_name_of_an_upstream_fails_no_request);
+    CPPUNIT_TEST(address_of_the_node_itself_fails_no_request);
     CPPUNIT_TEST(odd_evacuations_stop_nothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -180,6 +181,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, failed);
     }
 
+    // guards against requests that a node sends to itself, without the key that it would need
+    void address_of_the_node_itself_fails_no_request()
+    {
+        platform_fleet fleet{net};
+        const std::string own = fleet.callers_of(1).to_string();
+        fleet.store().put("servers/own", fleet.single_upstreams().front()->entry("ready", 1, own));
+        fleet.start_node(1);
+        std::this_thread::sleep_for(settling_time);
+        CPPUNIT_ASSERT_EQUAL(std::string{}, faults_of(send(fleet, 1, "POST", "/book/x")));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, faults_of(send(fleet, 1, "GET", "/read/x")));
+    }
+
     void odd_evacuations_stop_nothing()
     {
         platform_fleet fleet{net};
