An answer whose status no server may send fails its attempt at once

But a status below 100 was skipped like an interim response, so that the attempt waited for another answer: a request that may run only once got 504 at its deadline, and so did one that may be repeated if no other attempt was made. Statuses from 600 were passed to the caller with their body, and the connection was used again.

Cause: client_connection took all statuses below 200 for interim ones, and all others for final ones.

Change: a response whose status isn't between 100 and 599, or is 101 although no upgrade was asked for, is malformed; the connection ends. This is the one place where answers of upstreams, of the store and, in the native node, of hosts and the platform are read.

Statuses with other than three digits, "20" and "2000", were malformed before.

Why it works: a malformed response is a failure that doesn't prove that nothing ran, so it is repeated only where that is allowed, within the attempts and the budget.

--- a/packages/runtime/src/client_connection.cpp
+++ b/packages/runtime/src/client_connection.cpp
@@ -9,6 +9,7 @@
 
 #include "feed_parser.hpp"
 #include "message_head.hpp"
+#include "response_check.hpp"
 
 namespace teasellead::runtime
 {
@@ -194,7 +195,11 @@
 
 void client_connection::parse()
 {
-    if (feed_parser(*m_parser, m_buffer, m_exchange->m_max_body) || !charge())
+    const auto is_acceptable = [this](std::string_view)
+    {
+        return !m_parser->is_header_done() || is_valid_status(m_parser->get().result_int());
+    };
+    if (feed_parser(*m_parser, m_buffer, m_exchange->m_max_body, is_acceptable) || !charge())
     {
         fail(exchange_failure::malformed);
         return;
--- a/tests/unit/runtime/unit-client-connection.cpp
+++ b/tests/unit/runtime/unit-client-connection.cpp
@@ -5,9 +5,11 @@
 #include <boost/asio/write.hpp>
 #include <future>
 #include <linux/sockios.h>
+#include <optional>
 #include <string>
 #include <sys/ioctl.h>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "teasellead/runtime/client_connection.hpp"
@@ -35,6 +37,7 @@
 {
     CPPUNIT_TEST_SUITE(client_connection_test);
     CPPUNIT_TEST(responses_and_reuse_of_the_connection);
+    CPPUNIT_TEST(odd_statuses_are_malformed);
     CPPUNIT_TEST(response_without_id_belongs_to_the_first_request_only);
     CPPUNIT_TEST(endless_responses_are_aborted);
     CPPUNIT_TEST(connections_share_the_reply_budget);
@@ -121,6 +124,22 @@
         }
     }
 
+    /// the connection ends at once, although the server keeps it, and the bytes carry the id of the request
+    void odd_statuses_are_malformed()
+    {
+        const std::string own = "Request-Id: own\r\n";
+        const std::string length = "Content-Length: 4\r\n";
+        std::vector<std::string> heads;
+        for (const std::string status :
+             {"000", "001", "099", "101", "600", "999", "20", "2000", "2x0", "+20"})
+        {
+            heads.push_back("HTTP/1.1 " + status + " Odd\r\n" + own + length);
+            heads.push_back("HTTP/1.1 " + status + " Odd\r\n" + own);
+            heads.push_back("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + " Odd\r\n" + own + length);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{}, not_refused(heads));
+    }
+
     // guards against a late second response that is taken for the response to the next request: a refusal
     // in it would prove, wrongly, that this one didn't run
     void response_without_id_belongs_to_the_first_request_only()
@@ -259,6 +278,49 @@
   private:
     static constexpr std::size_t receive_limit = 1'000'000;
 
+    /// those of some heads to which the exchange, or the connection, doesn't end at once
+    std::string not_refused(const std::vector<std::string>& heads)
+    {
+        std::string failed;
+        for (const std::string& head : heads)
+        {
+            const auto [result, is_closed] = exchange_with(head + "\r\nbody");
+            const bool is_malformed = result && std::holds_alternative<exchange_failure>(*result) &&
+                                      std::get<exchange_failure>(*result) == exchange_failure::malformed;
+            failed += is_malformed && is_closed ? "" : head + "\n";
+        }
+        return failed;
+    }
+
+    /// result of a request to a server that sends some bytes and keeps its connection, if there is one soon,
+    /// and whether the client has closed the connection by itself
+    std::pair<std::optional<exchange_result>, bool> exchange_with(const std::string& bytes)
+    {
+        loop_thread thread;
+        std::promise<exchange_result> ended;
+        std::shared_ptr<client_connection> connection;
+        std::thread server = serve(bytes, ending::kept);
+        thread.run(
+            [&]
+            {
+                connection =
+                    std::make_shared<client_connection>(thread.loop(), m_clock, server_address, 500ms);
+                connection->start(
+                    exchange_of([&ended](exchange_result result) { ended.set_value(std::move(result)); }));
+            });
+        auto result = ended.get_future();
+        const bool has_ended = result.wait_for(1s) == std::future_status::ready;
+        bool is_closed = false;
+        thread.run(
+            [&]
+            {
+                is_closed = connection->is_closed();
+                connection->close();
+            });
+        server.join();
+        return {has_ended ? std::optional{result.get()} : std::nullopt, is_closed};
+    }
+
     /// result of a request to a server that sends until the connection is closed
     exchange_result exchange_without_end(const std::string& first, const std::string& repeated,
                                          const std::shared_ptr<memory_budget>& budget)
