An answer with folded lines, two lengths or another coding than chunks fails its attempt

But it joined folded lines and passed them on, took one length twice, and took `gzip, chunked` for chunks, so that the caller got a body that wasn't the replica's; with another coding the attempt waited for the end of the connection.

Cause: client_connection used whatever Beast's parser of responses accepts.

Change: a head with a line that continues the one before, a name outside ASCII, more than one length, or a transfer coding other than chunked is malformed. feed_parser hands each parsed part of a head to a check; that of requests of callers is unchanged.

Why it works: what a head means is then the same to the node and to any other reader of HTTP/1.1.

--- a/packages/runtime/src/client_connection.cpp
+++ b/packages/runtime/src/client_connection.cpp
@@ -195,9 +195,11 @@
 
 void client_connection::parse()
 {
-    const auto is_acceptable = [this](std::string_view)
+    const auto is_acceptable = [this](std::string_view parsed)
     {
-        return !m_parser->is_header_done() || is_valid_status(m_parser->get().result_int());
+        const bool is_valid = !m_parser->is_header_done() || (is_valid_status(m_parser->get().result_int()) &&
+                                                              are_valid_fields(m_parser->get().base()));
+        return is_valid && !has_folded_line(parsed);
     };
     if (feed_parser(*m_parser, m_buffer, m_exchange->m_max_body, is_acceptable) || !charge())
     {
--- a/tests/process/process-odd-answers.cpp
+++ b/tests/process/process-odd-answers.cpp
@@ -44,6 +44,31 @@
         rows.push_back({"status " + status, "HTTP/1.1 " + status + " Odd\r\n", ""});
     }
     rows.push_back({"status 000 after 100", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\n", ""});
+    const std::vector<std::pair<std::string, std::string>> heads{
+        {"blank in a name", "Odd Name: x\r\n"},
+        {"blank in the name of the length", "Content Length: 4\r\n"},
+        {"control byte in a name", "Odd\x01Name: x\r\n"},
+        {"byte 0xff in a name", "Odd\xffName: x\r\n"},
+        {"empty name", ": x\r\n"},
+        {"blank before the colon", "Odd : x\r\n"},
+        {"folded line", "Odd: x\r\n y\r\n"},
+        {"line without a colon", "Odd\r\n"},
+        {"control byte in a value", "Odd: a\x01z\r\n"},
+        {"lone CR", "Odd: a\rz\r\n"},
+        {"lone LF", "Odd: a\nOther: z\r\n"},
+        {"two lengths", "Content-Length: 4\r\n"},
+        {"the same length twice", "Content-Length: 16\r\n"},
+        {"a length and chunks", "Transfer-Encoding: chunked\r\n"},
+    };
+    for (const auto& [name, lines] : heads)
+    {
+        rows.push_back({name, "HTTP/1.1 200 OK\r\n", lines});
+    }
+    for (const std::string length : {"Content-Length: +16", "Content-Length: 16, 16",
+                                     "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked"})
+    {
+        rows.push_back({length, "HTTP/1.1 200 OK\r\n", "", length + "\r\n"});
+    }
     return rows;
 }
 
--- a/tests/unit/runtime/unit-client-connection.cpp
+++ b/tests/unit/runtime/unit-client-connection.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST_SUITE(client_connection_test);
     CPPUNIT_TEST(responses_and_reuse_of_the_connection);
     CPPUNIT_TEST(odd_statuses_are_malformed);
+    CPPUNIT_TEST(odd_lines_are_malformed);
     CPPUNIT_TEST(response_without_id_belongs_to_the_first_request_only);
     CPPUNIT_TEST(endless_responses_are_aborted);
     CPPUNIT_TEST(connections_share_the_reply_budget);
@@ -140,6 +141,48 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, not_refused(heads));
     }
 
+    /// likewise
+    void odd_lines_are_malformed()
+    {
+        const std::string own = "Request-Id: own\r\n";
+        const std::string length = "Content-Length: 4\r\n";
+        std::vector<std::string> heads;
+        for (const std::string& line : {std::string{"Odd Name: x"},
+                                        std::string{"Odd\tName: x"},
+                                        std::string{"Odd\x01: x"},
+                                        std::string{"Odd\0: x", 8},
+                                        std::string{"Odd\x7f: x"},
+                                        std::string{"Odd\x80: x"},
+                                        std::string{"Odd\xfd: x"},
+                                        std::string{"Odd\xfe: x"},
+                                        std::string{"Odd\xff: x"},
+                                        std::string{": x"},
+                                        std::string{"Odd : x"},
+                                        std::string{" Odd: x"},
+                                        std::string{"Odd: x\r\n y"},
+                                        std::string{"Odd: x\r\n\ty"},
+                                        std::string{"Odd: x\r\n "},
+                                        std::string{"Odd"},
+                                        std::string{"Odd: a\x01"},
+                                        std::string{"Odd: a\0z", 8},
+                                        std::string{"Odd: a\rz"},
+                                        std::string{"Odd: a\nB: z"},
+                                        std::string{"Content-Length: 5"},
+                                        std::string{"Content-Length: 4"},
+                                        std::string{"Transfer-Encoding: chunked"}})
+        {
+            heads.push_back("HTTP/1.1 200 OK\r\n" + own + line + "\r\n" + length);
+        }
+        for (const std::string line :
+             {"Content-Length: +4", "Content-Length: -4", "Content-Length: 4, 4", "Content-Length: 4 4",
+              "Content-Length:", "Transfer-Encoding: gzip", "Transfer-Encoding: identity",
+              "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip"})
+        {
+            heads.push_back("HTTP/1.1 200 OK\r\n" + own + line + "\r\n");
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{}, not_refused(heads));
+    }
+
     // guards against a late second response that is taken for the response to the next request: a refusal
     // in it would prove, wrongly, that this one didn't run
     void response_without_id_belongs_to_the_first_request_only()
