--- a/tests/process/process-odd-answers.cpp
+++ b/tests/process/process-odd-answers.cpp
@@ -235,6 +235,7 @@
         std::mutex mutex;
         load_result result;
         std::vector<std::thread> callers;
+        callers.reserve(caller_count);
         for (int number = 0; number < caller_count; ++number)
         {
             callers.emplace_back(
--- a/tests/unit/runtime/unit-client-connection.cpp
+++ b/tests/unit/runtime/unit-client-connection.cpp
@@ -150,7 +150,7 @@
         for (const std::string& line : {std::string{"Odd Name: x"},
                                         std::string{"Odd\tName: x"},
                                         std::string{"Odd\x01: x"},
-                                        std::string{"Odd\0: x", 8},
+                                        std::string{"Odd\0: x", 7},
                                         std::string{"Odd\x7f: x"},
                                         std::string{"Odd\x80: x"},
                                         std::string{"Odd\xfd: x"},
