Lines and counters tell what nodes believe of upstreams, and what they passed over and why

Change: `upstream` and `evacuation` have revision and origin, `upstream` the sequence and the state `outdated`; `publication_outdated` names the first item passed over and the revision that is known; three counters.

Evidence: publication_test::older_updates_are_reported, upstream_directory_test.

--- a/packages/fleet/include/teasellead/fleet/publication_log.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_log.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "teasellead/fleet/messages.hpp"
@@ -26,6 +27,23 @@
     friend bool operator==(const publication_delta&, const publication_delta&) = default;
 };
 
+/// items and listings that a copy of the published items passed over because it has later ones
+struct outdated_publications
+{
+    std::uint64_t m_items{0};
+    std::uint64_t m_listings{0};
+    std::string m_key;           ///< key of the first item; empty if there are only listings
+    std::uint64_t m_revision{0}; ///< of the first item or listing
+    std::uint64_t m_known{0};    ///< revision that the copy has instead
+
+    [[nodiscard]] bool is_empty() const noexcept
+    {
+        return m_items + m_listings == 0;
+    }
+
+    friend bool operator==(const outdated_publications&, const outdated_publications&) = default;
+};
+
 /*!
 @brief this node's copy of the items that a deployment publishes, with a history of recent changes
 
@@ -62,6 +80,12 @@
     */
     std::vector<published_item> on_changes(const std::vector<published_item>& items, std::uint64_t as_of);
 
+    /// returns and forgets what was passed over as outdated; items that are merely repeated don't count
+    [[nodiscard]] outdated_publications take_outdated()
+    {
+        return std::exchange(m_outdated, {});
+    }
+
     /// revision up to which this copy is complete; 0 before the first listing
     [[nodiscard]] std::uint64_t as_of() const noexcept
     {
@@ -91,12 +115,15 @@
     };
 
     bool apply(const published_item& item);
+    /// records an item if it differs from the later one that is known
+    void note_outdated(const published_item& item, const published_item& known);
 
     std::unordered_map<std::string, published_item> m_items;
     std::unordered_map<std::string, std::uint64_t> m_removed; ///< revisions of removals in the history
     std::deque<change> m_history;
     std::uint64_t m_history_from{0}; ///< changes after this revision are in the history
     std::uint64_t m_as_of{0};
+    outdated_publications m_outdated;
 };
 
 } // namespace teasellead
--- a/packages/fleet/src/publication_log.cpp
+++ b/packages/fleet/src/publication_log.cpp
@@ -31,10 +31,14 @@
 {
     const auto known = m_items.find(item.m_key);
     const auto removed = m_removed.find(item.m_key);
-    const bool is_known = (known != m_items.end() && known->second.m_revision >= item.m_revision) ||
-                          (removed != m_removed.end() && removed->second >= item.m_revision);
-    if (is_known)
+    if (known != m_items.end() && known->second.m_revision >= item.m_revision)
     {
+        note_outdated(item, known->second);
+        return false;
+    }
+    if (removed != m_removed.end() && removed->second >= item.m_revision)
+    {
+        note_outdated(item, {item.m_key, std::nullopt, removed->second});
         return false;
     }
     if (item.m_value)
@@ -65,6 +69,19 @@
     return true;
 }
 
+void publication_log::note_outdated(const published_item& item, const published_item& known)
+{
+    if (item == known)
+    {
+        return;
+    }
+    if (m_outdated.is_empty())
+    {
+        m_outdated = {0, 0, item.m_key, item.m_revision, known.m_revision};
+    }
+    ++m_outdated.m_items;
+}
+
 std::vector<published_item> publication_log::on_listing(const std::vector<published_item>& items,
                                                         const std::vector<std::string>& unchanged,
                                                         std::uint64_t as_of)
@@ -72,6 +89,11 @@
     std::vector<published_item> changes;
     if (as_of < m_as_of)
     {
+        if (m_outdated.is_empty())
+        {
+            m_outdated = {0, 0, {}, as_of, m_as_of};
+        }
+        ++m_outdated.m_listings;
         return changes;
     }
     std::set<std::string> listed{unchanged.begin(), unchanged.end()};
--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -30,6 +30,14 @@
     friend bool operator==(const directory_item&, const directory_item&) = default;
 };
 
+/// what became of an entry that was published
+enum class entry_outcome
+{
+    listed,   ///< its upstream is listed with this entry
+    outdated, ///< passed over: a later report of the same upstream is known
+    removed   ///< it is invalid, so its upstream isn't listed any more
+};
+
 /// an upstream whose process has ended without announcing it
 struct ended_upstream
 {
@@ -100,7 +108,7 @@
     }
 
     /// applies a new or changed entry; an invalid entry is treated as a removal
-    void on_change(const directory_item& item, time_point now);
+    entry_outcome on_change(const directory_item& item, time_point now);
 
     /*!
     @brief applies the removal of an entry
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -101,11 +101,6 @@
 
 void upstream_directory::insert(const upstream_entry& entry, time_point now)
 {
-    // entries may arrive out of order
-    if (is_outdated(entry))
-    {
-        return;
-    }
     if (m_instance_states.size() > max_states_per_upstream * (m_by_instance.size() + 1) + min_states)
     {
         std::erase_if(m_instance_states,
@@ -200,14 +195,20 @@
     ++m_version;
 }
 
-void upstream_directory::on_change(const directory_item& item, time_point now)
+entry_outcome upstream_directory::on_change(const directory_item& item, time_point now)
 {
-    if (item.m_entry)
+    if (!item.m_entry)
     {
-        insert(*item.m_entry, now);
-        return;
+        erase(item.m_instance);
+        return entry_outcome::removed;
+    }
+    // entries may arrive out of order
+    if (is_outdated(*item.m_entry))
+    {
+        return entry_outcome::outdated;
     }
-    erase(item.m_instance);
+    insert(*item.m_entry, now);
+    return entry_outcome::listed;
 }
 
 void upstream_directory::on_removed(const std::string& instance, bool keep_if_expired)
--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -42,7 +42,7 @@
     return item;
 }
 
-std::string state_of(const forwarding::directory_item& item)
+std::string_view state_of(const forwarding::directory_item& item)
 {
     if (!item.m_entry)
     {
@@ -51,6 +51,21 @@
     return item.m_entry->m_is_draining ? "draining" : "ready";
 }
 
+/// a counter by reason of what was passed over because something later is known
+std::string outdated_exposition(std::uint64_t items, std::uint64_t listings, std::uint64_t entries)
+{
+    std::ostringstream text;
+    text << "# HELP teasellead_publications_outdated_total Published items, listings of all items and "
+            "upstreams' "
+            "entries that were passed over because later ones are known.\n"
+            "# TYPE teasellead_publications_outdated_total counter\n";
+    constexpr std::string_view name = "teasellead_publications_outdated_total{kind=\"";
+    text << name << "item\"} " << items << '\n'
+         << name << "listing\"} " << listings << '\n'
+         << name << "entry\"} " << entries << '\n';
+    return text.str();
+}
+
 } // namespace
 
 publication_agent::publication_agent(const deployment& platform, asio::io_context& loop,
@@ -119,7 +134,8 @@
            exposition_line("teasellead_publication_deferred_replies_total", "counter", counts.m_deferred) +
            exposition_line("teasellead_publication_relayed_bytes_total", "counter", counts.m_relayed_bytes) +
            exposition_line("teasellead_publication_largest_reply_bytes", "gauge", counts.m_largest_reply) +
-           exposition_line("teasellead_source_calls_total", "counter", calls());
+           exposition_line("teasellead_source_calls_total", "counter", calls()) +
+           outdated_exposition(m_outdated_items, m_outdated_listings, m_outdated_entries);
 }
 
 void publication_agent::on_reply(const endpoint& sender, const publication_reply& reply)
@@ -210,6 +226,54 @@
                         {{"key", item.m_key}, {"origin", origin}, {"error", std::string_view{error.what()}}});
         }
     }
+    log_outdated(origin);
+}
+
+void publication_agent::log_outdated(std::string_view origin)
+{
+    const outdated_publications passed = m_items.take_outdated();
+    if (passed.is_empty())
+    {
+        return;
+    }
+    m_outdated_items += passed.m_items;
+    m_outdated_listings += passed.m_listings;
+    m_log.write(log_level::info, "publication_outdated",
+                {{"origin", origin},
+                 {"items", passed.m_items},
+                 {"listings", passed.m_listings},
+                 {"key", passed.m_key},
+                 {"revision", passed.m_revision},
+                 {"known", passed.m_known}});
+}
+
+void publication_agent::apply_entry(const upstream_published& published, std::uint64_t revision,
+                                    std::string_view origin)
+{
+    const forwarding::directory_item usable = without_own_address(published.m_item, m_platform.settings());
+    const forwarding::entry_outcome outcome = m_directory.on_change(usable, m_clock.now());
+    const bool is_outdated = outcome == forwarding::entry_outcome::outdated;
+    m_outdated_entries += is_outdated ? 1 : 0;
+    m_log.write(log_level::info, "upstream",
+                {{"instance", usable.m_instance},
+                 {"service", usable.m_entry ? usable.m_entry->m_service : ""},
+                 {"state", is_outdated ? "outdated" : state_of(usable)},
+                 {"revision", revision},
+                 {"sequence", usable.m_entry ? usable.m_entry->m_sequence : 0},
+                 {"origin", origin}});
+}
+
+void publication_agent::apply_removal(const upstream_withdrawn& withdrawn, std::uint64_t revision,
+                                      std::string_view origin)
+{
+    const bool keeps = is_in_expiry_grace();
+    m_has_expired_entries = m_has_expired_entries || keeps;
+    m_directory.on_removed(withdrawn.m_instance, keeps);
+    m_log.write(log_level::info, "upstream",
+                {{"instance", withdrawn.m_instance},
+                 {"state", keeps ? "lapsed" : "removed"},
+                 {"revision", revision},
+                 {"origin", origin}});
 }
 
 void publication_agent::apply(const published_item& item, std::string_view origin)
@@ -223,26 +287,11 @@
                               m_on_declarations({std::move(next), item.m_revision, origin,
                                                  m_configuration_lease.age(m_clock.now())});
                           },
-                          [this](const upstream_published& each)
-                          {
-                              const forwarding::directory_item usable =
-                                  without_own_address(each.m_item, m_platform.settings());
-                              m_directory.on_change(usable, m_clock.now());
-                              m_log.write(log_level::info, "upstream",
-                                          {{"instance", usable.m_instance},
-                                           {"service", usable.m_entry ? usable.m_entry->m_service : ""},
-                                           {"state", state_of(usable)}});
-                          },
-                          [this](const upstream_withdrawn& each)
-                          {
-                              const bool keeps = is_in_expiry_grace();
-                              m_has_expired_entries = m_has_expired_entries || keeps;
-                              m_directory.on_removed(each.m_instance, keeps);
-                              m_log.write(
-                                  log_level::info, "upstream",
-                                  {{"instance", each.m_instance}, {"state", keeps ? "lapsed" : "removed"}});
-                          },
-                          [this](const data_centre_evacuated& each)
+                          [this, &item, origin](const upstream_published& each)
+                          { apply_entry(each, item.m_revision, origin); },
+                          [this, &item, origin](const upstream_withdrawn& each)
+                          { apply_removal(each, item.m_revision, origin); },
+                          [this, &item, origin](const data_centre_evacuated& each)
                           {
                               if (each.m_is_evacuated)
                               {
@@ -255,7 +304,9 @@
                               m_directory.set_evacuated(m_evacuated);
                               m_log.write(log_level::info, "evacuation",
                                           {{"data_centre", each.m_data_centre},
-                                           {"state", each.m_is_evacuated ? "evacuated" : "taken_back"}});
+                                           {"state", each.m_is_evacuated ? "evacuated" : "taken_back"},
+                                           {"revision", item.m_revision},
+                                           {"origin", origin}});
                           }},
                meaning);
 }
--- a/packages/runtime/src/publication_agent.hpp
+++ b/packages/runtime/src/publication_agent.hpp
@@ -74,6 +74,10 @@
     void confirm(const confirmation_times& times);
     void apply_all(const std::vector<published_item>& items, std::string_view origin);
     void apply(const published_item& item, std::string_view origin);
+    void apply_entry(const upstream_published& published, std::uint64_t revision, std::string_view origin);
+    void apply_removal(const upstream_withdrawn& withdrawn, std::uint64_t revision, std::string_view origin);
+    /// logs and counts what the copy of the items passed over
+    void log_outdated(std::string_view origin);
     /// whether entries may have expired because the source was unreachable until now
     [[nodiscard]] bool may_have_expired_entries() const;
     void extend_expiry_grace(time_point until);
@@ -95,6 +99,9 @@
     bool m_has_expired_entries{false}; ///< whether the directory keeps removed entries
     bool m_has_invalid_item{false};    ///< whether an item was invalid since the latest valid configuration
     bool m_reads_source{false};
+    std::uint64_t m_outdated_items{0};
+    std::uint64_t m_outdated_listings{0};
+    std::uint64_t m_outdated_entries{0};
 };
 
 } // namespace teasellead::runtime
--- a/tests/unit/fleet/unit-publication.cpp
+++ b/tests/unit/fleet/unit-publication.cpp
@@ -295,6 +295,7 @@
     CPPUNIT_TEST(delta_brings_another_log_up_to_date);
     CPPUNIT_TEST(listing_reports_removed_items);
     CPPUNIT_TEST(older_updates_change_nothing);
+    CPPUNIT_TEST(older_updates_are_reported);
     CPPUNIT_TEST(request_for_an_old_revision_gets_all_items);
     CPPUNIT_TEST(one_node_reads_and_all_receive_updates);
     CPPUNIT_TEST(lost_reader_is_replaced_before_confirmations_expire);
@@ -344,6 +345,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, log.as_of());
     }
 
+    // guards against updates that a node passes over without a trace: nothing told why it used an upstream
+    void older_updates_are_reported()
+    {
+        publication_log log;
+        log.on_listing({item_of("a", "2", 6), item_of("b", "1", 2)}, 8);
+        log.on_changes({item_of("a", "2", 6), item_of("b", "1", 2)}, 8);
+        CPPUNIT_ASSERT(log.take_outdated().is_empty());
+        log.on_changes({item_of("a", "1", 3), item_of("b", "0", 1), item_of("a", "3", 6)}, 8);
+        CPPUNIT_ASSERT((log.take_outdated() == outdated_publications{3, 0, "a", 3, 6}));
+        log.on_listing({item_of("a", "1", 3)}, 5);
+        CPPUNIT_ASSERT((log.take_outdated() == outdated_publications{0, 1, {}, 5, 8}));
+        CPPUNIT_ASSERT(log.take_outdated().is_empty());
+    }
+
     void request_for_an_old_revision_gets_all_items()
     {
         publication_log log;
--- a/tests/unit/forwarding/unit-upstream-directory.cpp
+++ b/tests/unit/forwarding/unit-upstream-directory.cpp
@@ -61,7 +61,7 @@
         change(entry);
         entry.m_sequence = 9;
         entry.m_is_draining = false;
-        change(entry);
+        CPPUNIT_ASSERT(m_directory.on_change({entry.m_instance, entry}, start) == entry_outcome::outdated);
         CPPUNIT_ASSERT(!is_chosen("a"));
     }
 
