--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -151,6 +151,38 @@
         });
 }
 
+standin_store::backup standin_store::back_up()
+{
+    backup result;
+    m_thread.run(
+        [&]
+        {
+            result.m_items = m_items;
+            result.m_revision = m_revision;
+        });
+    return result;
+}
+
+void standin_store::restore(const backup& earlier)
+{
+    m_thread.run(
+        [&]
+        {
+            m_items = earlier.m_items;
+            m_revision = earlier.m_revision;
+            m_history.clear();
+            m_history_from = m_revision;
+            m_watches.clear();
+            ++m_era;
+        });
+}
+
+void standin_store::respond(const runtime::respond_function& receiver, http_response response) const
+{
+    response.m_fields.push_back({"Store-Era", std::to_string(m_era)});
+    receiver(response);
+}
+
 void standin_store::change(const event& next)
 {
     event written = next;
@@ -177,7 +209,7 @@
     for (const auto& [number, watch] : waiting)
     {
         watch.m_timer->cancel();
-        watch.m_respond(events(watch.m_prefix, watch.m_after));
+        respond(watch.m_respond, events(watch.m_prefix, watch.m_after));
     }
 }
 
@@ -204,7 +236,7 @@
 
 http_response standin_store::events(const std::string& prefix, std::uint64_t after) const
 {
-    if (after < m_history_from)
+    if (after < m_history_from || after > m_revision)
     {
         return {gone, {}, {}};
     }
@@ -224,12 +256,12 @@
 }
 
 runtime::disconnect_callback standin_store::take(const http_request& request,
-                                                 const runtime::respond_function& respond)
+                                                 const runtime::respond_function& receiver)
 {
     ++m_calls;
     if (m_mode == store_mode::refusing)
     {
-        respond({unavailable, {}, {}});
+        respond(receiver, {unavailable, {}, {}});
         return {};
     }
     if (m_mode == store_mode::silent)
@@ -239,13 +271,13 @@
     const std::string prefix = parameter(request.m_target, "prefix");
     if (starts_with(request.m_target, "/api/kv-range"))
     {
-        respond(range(prefix, parameter(request.m_target, "after")));
+        respond(receiver, range(prefix, parameter(request.m_target, "after")));
         return {};
     }
     const std::uint64_t after = std::stoull(parameter(request.m_target, "after"));
-    if (after < m_revision)
+    if (after != m_revision)
     {
-        respond(events(prefix, after));
+        respond(receiver, events(prefix, after));
         return {};
     }
     const std::uint64_t number = ++m_last_watch;
@@ -260,10 +292,10 @@
                 const auto answer = found->second.m_respond;
                 const http_response response = events(found->second.m_prefix, found->second.m_after);
                 m_watches.erase(found);
-                answer(response);
+                respond(answer, response);
             }
         });
-    m_watches.emplace(number, waiting_watch{prefix, after, respond, timer});
+    m_watches.emplace(number, waiting_watch{prefix, after, receiver, timer});
     return [this, number]
     {
         m_watches.erase(number);
--- a/tests/support/standin_store.hpp
+++ b/tests/support/standin_store.hpp
@@ -26,6 +26,15 @@
 /// stand-in for the platform's store: items with revisions that can be read in pages and watched for changes
 class standin_store
 {
+    struct event
+    {
+        std::string m_key;
+        std::string m_value;
+        std::string m_text; ///< JSON text of the whole item; empty for an item as the store writes it
+        bool m_is_removed{false};
+        std::uint64_t m_revision{0};
+    };
+
   public:
     standin_store(runtime::loop_thread& thread, const teasellead::endpoint& address);
     ~standin_store();
@@ -49,6 +58,23 @@
     /// drops the history of changes; watches that need it get the reply 410
     void drop_history();
 
+    /// all items with their revisions at a moment
+    class backup
+    {
+        friend class standin_store;
+        std::map<std::string, event> m_items;
+        std::uint64_t m_revision{0};
+    };
+
+    [[nodiscard]] backup back_up();
+
+    /*!
+    @brief goes back to a backup: later changes are lost and their revisions are given out again
+
+    The era in the header of all answers rises by one. Waiting watches get no answer.
+    */
+    void restore(const backup& earlier);
+
     /// number of calls so far
     [[nodiscard]] std::size_t calls() const noexcept
     {
@@ -56,15 +82,6 @@
     }
 
   private:
-    struct event
-    {
-        std::string m_key;
-        std::string m_value;
-        std::string m_text; ///< JSON text of the whole item; empty for an item as the store writes it
-        bool m_is_removed{false};
-        std::uint64_t m_revision{0};
-    };
-
     struct waiting_watch
     {
         std::string m_prefix;
@@ -77,6 +94,8 @@
                                       const runtime::respond_function& respond);
     void change(const event& next);
     void answer_watches();
+    /// sends a response with the era
+    void respond(const runtime::respond_function& receiver, runtime::http_response response) const;
     [[nodiscard]] static std::string text_of(const event& item);
     [[nodiscard]] runtime::http_response range(const std::string& prefix, const std::string& after) const;
     [[nodiscard]] runtime::http_response events(const std::string& prefix, std::uint64_t after) const;
@@ -87,6 +106,7 @@
     std::size_t m_page_size{500};
     std::uint64_t m_revision{10};
     std::uint64_t m_history_from{10};
+    std::uint64_t m_era{1};
     store_mode m_mode{store_mode::up};
     std::map<std::uint64_t, waiting_watch> m_watches;
     std::uint64_t m_last_watch{0};
