A place in the store's history is an era and a revision, so that a store that comes back from a copy is followed

Cause: a node knew the store's state by a bare revision. A store that comes back from a copy has lost its latest changes and gives their revisions out again. A node passed over each item at or below the revision that it knew of the key and each listing below its own, and confirmed itself as current all the same; a follower took the reply that holds nothing for it as a confirmation; and a watch went on in the new history from a revision of the old one. Class: an order that holds only within one history is used across two.

Change: publication_position, an epoch (the store's era) and a revision, in that order, in the log, the messages between nodes, the follower and the reader of the store. A listing of a newer epoch replaces all that is known; items, replies and confirmations of an older one count for nothing; a node of another epoch gets all items with their values. Nodes of the version before send no epoch: they are answered by revision as before, and their replies count only where the store sends no era.

The line source_restored and three metrics tell of it.

Why it works: within one epoch revisions order changes as before; across epochs only the epoch counts, and it rises with each return.

--- a/packages/fleet/include/teasellead/fleet/messages.hpp
+++ b/packages/fleet/include/teasellead/fleet/messages.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "teasellead/fleet/publication_position.hpp"
 #include "teasellead/forwarding/crash_record.hpp"
 #include "teasellead/forwarding/upstream_observation.hpp"
 #include "teasellead/kernel/configuration.hpp"
@@ -263,26 +264,27 @@
 {
     std::string m_key;
     std::optional<std::string> m_value; ///< empty if the item was removed
-    std::uint64_t m_revision{0};        ///< increases with each change of any item
+    std::uint64_t m_revision{0};        ///< increases with each change of any item in the source's epoch
 
     friend bool operator==(const published_item&, const published_item&) = default;
 };
 
-/// asks for the items that were published after a revision
+/// asks for the items that were published after a position
 struct publication_request
 {
-    std::uint64_t m_call{0}; ///< number that the reply echoes
-    std::uint64_t m_have{0}; ///< revision up to which the sender has every change
+    std::uint64_t m_call{0};     ///< number that the reply echoes
+    publication_position m_have; ///< up to which the sender has every change
+    bool m_knows_epochs{true};   ///< false for a node of an older version, which has only a revision
 
     friend bool operator==(const publication_request&, const publication_request&) = default;
 };
 
-/// items that were published after a revision
+/// items that were published after a position
 struct publication_reply
 {
     std::uint64_t m_call{0};
-    /// revision up to which the sender has every change; 0 before its first listing
-    std::uint64_t m_as_of{0};
+    publication_position
+        m_as_of; ///< up to which the sender has every change; without items before its first listing
     /// whether the reply lists every published item, with its value or as unchanged, not only the changes
     bool m_is_full{false};
     std::vector<published_item> m_items;
--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -56,14 +56,15 @@
 /// how the requests of a node to its peers ended, and what it sent to them
 struct follower_counts
 {
-    std::uint64_t m_from_readers{0};  ///< answered by a peer that reads the source
-    std::uint64_t m_from_others{0};   ///< answered by another peer
-    std::uint64_t m_unanswered{0};    ///< without an answer in time
-    std::uint64_t m_late{0};          ///< answers that came after that time
-    std::uint64_t m_deferred{0};      ///< requests of peers that got no items because of the limit
-    std::uint64_t m_full_replies{0};  ///< sent replies that list all items
-    std::uint64_t m_relayed_bytes{0}; ///< bytes of the items in all sent replies
-    std::uint64_t m_largest_reply{0}; ///< bytes of the items in the largest sent reply
+    std::uint64_t m_from_readers{0};      ///< answered by a peer that reads the source
+    std::uint64_t m_from_others{0};       ///< answered by another peer
+    std::uint64_t m_unanswered{0};        ///< without an answer in time
+    std::uint64_t m_late{0};              ///< answers that came after that time
+    std::uint64_t m_from_older_epochs{0}; ///< answers of peers that don't know of the source's return yet
+    std::uint64_t m_deferred{0};          ///< requests of peers that got no items because of the limit
+    std::uint64_t m_full_replies{0};      ///< sent replies that list all items
+    std::uint64_t m_relayed_bytes{0};     ///< bytes of the items in all sent replies
+    std::uint64_t m_largest_reply{0};     ///< bytes of the items in the largest sent reply
 
     friend bool operator==(const follower_counts&, const follower_counts&) = default;
 };
@@ -122,10 +123,10 @@
     /*!
     @brief returns the requests that are due
 
-    @param[in] have  revision up to which this node has every change
+    @param[in] have  position up to which this node has every change
     @param[in] now   current time
     */
-    [[nodiscard]] std::vector<outgoing_message> on_tick(std::uint64_t have, time_point now);
+    [[nodiscard]] std::vector<outgoing_message> on_tick(const publication_position& have, time_point now);
 
     /*!
     @brief replies to a peer's request
@@ -144,7 +145,7 @@
                                           time_point now);
 
     /*!
-    @brief applies a peer's reply
+    @brief applies a peer's reply; nothing of an older epoch is taken or confirmed
 
     @param[in]     sender  the peer
     @param[in]     reply   its reply
@@ -166,7 +167,7 @@
     {
         std::uint64_t m_number{0};
         endpoint m_peer;
-        std::uint64_t m_have{0}; ///< revision up to which this node had every change
+        publication_position m_have; ///< up to which this node had every change
         time_point m_requested_at{};
     };
 
@@ -179,7 +180,7 @@
     [[nodiscard]] bool is_designated() const;
     [[nodiscard]] std::optional<endpoint> choose_peer(time_point now);
     [[nodiscard]] bool needs_source(time_point now) const;
-    [[nodiscard]] bool is_from_reader(const publication_reply& reply) const;
+    [[nodiscard]] bool is_from_reader(const publication_reply& reply, const publication_log& known) const;
     void on_request_failed(time_point now);
     void start_reading(time_point now);
 
--- a/packages/fleet/include/teasellead/fleet/publication_log.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_log.hpp
@@ -18,7 +18,7 @@
 {
     std::vector<published_item> m_items;
     std::vector<std::string> m_unchanged; ///< keys of the other items; only if every published item is listed
-    std::uint64_t m_as_of{0};             ///< revision up to which the items are complete
+    publication_position m_as_of;         ///< up to which the items are complete
     bool m_is_full{false};                ///< whether every published item is listed, not only the changes
 
     /// size of the keys and values
@@ -31,10 +31,10 @@
 struct outdated_publications
 {
     std::uint64_t m_items{0};
-    std::uint64_t m_listings{0};
-    std::string m_key;           ///< key of the first item; empty if there are only listings
-    std::uint64_t m_revision{0}; ///< of the first item or listing
-    std::uint64_t m_known{0};    ///< revision that the copy has instead
+    std::uint64_t m_listings{0};     ///< also changes of an older epoch, as a whole
+    std::string m_key;               ///< key of the first item; empty if there are only listings
+    publication_position m_position; ///< of the first item or listing
+    publication_position m_known;    ///< what the copy has instead
 
     [[nodiscard]] bool is_empty() const noexcept
     {
@@ -47,38 +47,43 @@
 /*!
 @brief this node's copy of the items that a deployment publishes, with a history of recent changes
 
+All items and the history belong to the epoch of @ref as_of.
+
 Not safe for use by several threads.
 */
 class publication_log
 {
   public:
     /*!
-    @brief applies a listing of all published items
+    @brief applies a listing of all published items; one of a newer epoch replaces all that is known
 
     @param[in] items      the items
     @param[in] unchanged  keys of further items that this copy has in their current revision
-    @param[in] as_of      revision of the listing; all later changes will be received
+    @param[in] as_of      position of the listing; all later changes will be received
 
     @return the changes, including removals; empty if the listing is older than this copy
     */
     std::vector<published_item> on_listing(const std::vector<published_item>& items,
-                                           const std::vector<std::string>& unchanged, std::uint64_t as_of);
+                                           const std::vector<std::string>& unchanged,
+                                           const publication_position& as_of);
 
     /// applies a listing of all published items with their values
-    std::vector<published_item> on_listing(const std::vector<published_item>& items, std::uint64_t as_of)
+    std::vector<published_item> on_listing(const std::vector<published_item>& items,
+                                           const publication_position& as_of)
     {
         return on_listing(items, {}, as_of);
     }
 
     /*!
-    @brief applies changes in the order of their revisions
+    @brief applies changes in the order of their revisions; those of another epoch are passed over
 
     @param[in] items  changed and removed items
-    @param[in] as_of  revision up to which nothing is missing
+    @param[in] as_of  position up to which nothing is missing
 
     @return the items that changed this copy
     */
-    std::vector<published_item> on_changes(const std::vector<published_item>& items, std::uint64_t as_of);
+    std::vector<published_item> on_changes(const std::vector<published_item>& items,
+                                           const publication_position& as_of);
 
     /// returns and forgets what was passed over as outdated; items that are merely repeated don't count
     [[nodiscard]] outdated_publications take_outdated()
@@ -86,8 +91,8 @@
         return std::exchange(m_outdated, {});
     }
 
-    /// revision up to which this copy is complete; 0 before the first listing
-    [[nodiscard]] std::uint64_t as_of() const noexcept
+    /// position up to which this copy is complete; without items before the first listing
+    [[nodiscard]] const publication_position& as_of() const noexcept
     {
         return m_as_of;
     }
@@ -99,13 +104,13 @@
     }
 
     /*!
-    @brief returns the changes since a revision
+    @brief returns the changes since a position
 
-    @param[in] have  revision up to which the requesting node has every change
+    @param[in] have  position up to which the requesting node has every change
 
     @complexity linear in the number of changes, or of items if the history doesn't reach back so far
     */
-    [[nodiscard]] publication_delta since(std::uint64_t have) const;
+    [[nodiscard]] publication_delta since(const publication_position& have) const;
 
   private:
     struct change
@@ -115,14 +120,24 @@
     };
 
     bool apply(const published_item& item);
+    /// replaces all items by those of a newer epoch; returns the changes
+    std::vector<published_item> begin_epoch(const std::vector<published_item>& items,
+                                            const publication_position& as_of);
+    /// removes items that a listing doesn't have, and appends their removals to the changes
+    void remove_missing(const std::vector<std::string>& keys, const publication_position& as_of,
+                        std::vector<published_item>& changes);
+    /// appends a change to the history
+    void record(std::uint64_t revision, const std::string& key);
+    [[nodiscard]] publication_delta all_items(const publication_position& have) const;
     /// records an item if it differs from the later one that is known
     void note_outdated(const published_item& item, const published_item& known);
+    void note_outdated(const publication_position& listing);
 
     std::unordered_map<std::string, published_item> m_items;
     std::unordered_map<std::string, std::uint64_t> m_removed; ///< revisions of removals in the history
     std::deque<change> m_history;
     std::uint64_t m_history_from{0}; ///< changes after this revision are in the history
-    std::uint64_t m_as_of{0};
+    publication_position m_as_of;
     outdated_publications m_outdated;
 };
 
--- a/packages/fleet/include/teasellead/fleet/relay_budget.hpp
+++ b/packages/fleet/include/teasellead/fleet/relay_budget.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 
+#include "teasellead/fleet/publication_position.hpp"
 #include "teasellead/kernel/clock.hpp"
 #include "teasellead/kernel/endpoint.hpp"
 
@@ -29,10 +30,11 @@
     @brief whether items may be sent to a peer now
 
     @param[in] receiver  the peer
-    @param[in] have      revision up to which the peer has every change
+    @param[in] have      position up to which the peer has every change
     @param[in] now       current time
     */
-    [[nodiscard]] bool may_send(const endpoint& receiver, std::uint64_t have, time_point now) const
+    [[nodiscard]] bool may_send(const endpoint& receiver, const publication_position& have,
+                                time_point now) const
     {
         const auto last = m_large.find(receiver);
         const bool is_on_its_way = last != m_large.end() && last->second.m_have == have &&
@@ -44,11 +46,12 @@
     @brief records items that were sent to a peer
 
     @param[in] receiver  the peer
-    @param[in] have      revision up to which the peer had every change
+    @param[in] have      position up to which the peer had every change
     @param[in] bytes     size of the items
     @param[in] now       current time
     */
-    void on_sent(const endpoint& receiver, std::uint64_t have, std::size_t bytes, time_point now)
+    void on_sent(const endpoint& receiver, const publication_position& have, std::size_t bytes,
+                 time_point now)
     {
         if (m_bytes_per_second <= 0.0)
         {
@@ -73,7 +76,7 @@
 
     struct large_reply
     {
-        std::uint64_t m_have;
+        publication_position m_have;
         time_point m_sent_at;
     };
 
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -108,7 +108,7 @@
     return chosen < m_local.size() ? m_local[chosen] : m_others[chosen - m_local.size()];
 }
 
-std::vector<outgoing_message> publication_follower::on_tick(std::uint64_t have, time_point now)
+std::vector<outgoing_message> publication_follower::on_tick(const publication_position& have, time_point now)
 {
     if (m_is_waiting && now - m_requested_at >= m_settings.m_reply_timeout)
     {
@@ -155,8 +155,13 @@
            now - m_reader_seen_at > m_settings.m_reader_timeout;
 }
 
-bool publication_follower::is_from_reader(const publication_reply& reply) const
+bool publication_follower::is_from_reader(const publication_reply& reply, const publication_log& known) const
 {
+    // one that hasn't noticed yet that the source came back from a backup confirms what is no longer there
+    if (reply.m_as_of.epoch() < known.as_of().epoch())
+    {
+        return false;
+    }
     // a reader whose source has become silent notices it later than its followers; one without a confirmation
     // has just started to read
     return reply.m_is_reader && reply.m_staleness.value_or(milliseconds{0}) <= m_settings.m_usable_age &&
@@ -199,20 +204,23 @@
                                               const publication_log& known, duration expiry_grace,
                                               time_point now)
 {
+    const publication_position have =
+        request.m_knows_epochs ? request.m_have
+                               : publication_position{known.as_of().epoch(), request.m_have.revision()};
     publication_reply reply;
     reply.m_call = request.m_call;
     reply.m_is_reader = m_source_is_reachable && reads_source(now);
     reply.m_expiry_grace = std::chrono::ceil<milliseconds>(expiry_grace);
-    if (request.m_have < known.as_of() && !m_relay.may_send(sender, request.m_have, now))
+    if (have < known.as_of() && !m_relay.may_send(sender, have, now))
     {
         // confirms nothing, since the peer lacks items
         ++m_counts.m_deferred;
-        reply.m_as_of = request.m_have;
+        reply.m_as_of = have;
         return {sender, std::move(reply)};
     }
-    publication_delta delta = known.since(request.m_have);
+    publication_delta delta = known.since(have);
     const std::size_t bytes = delta.bytes();
-    m_relay.on_sent(sender, request.m_have, bytes, now);
+    m_relay.on_sent(sender, have, bytes, now);
     m_counts.m_full_replies += delta.m_is_full ? 1 : 0;
     m_counts.m_relayed_bytes += bytes;
     m_counts.m_largest_reply = std::max<std::uint64_t>(m_counts.m_largest_reply, bytes);
@@ -246,7 +254,9 @@
 bool publication_follower::is_usable(const publication_reply& reply, const call& answered) noexcept
 {
     // an earlier process at this address may have sent a request with the same number
-    return answered.m_have > 0 || (reply.m_is_full && reply.m_unchanged.empty());
+    const bool is_based_on_items =
+        answered.m_have.has_items() && answered.m_have.epoch() == reply.m_as_of.epoch();
+    return is_based_on_items || (reply.m_is_full && reply.m_unchanged.empty());
 }
 
 void publication_follower::on_timely_reply(bool is_from_reader, time_point requested_at)
@@ -292,20 +302,26 @@
     const time_point requested_at = answered->m_requested_at;
     if (m_is_waiting && reply.m_call == m_call)
     {
-        on_timely_reply(is_from_reader(reply), requested_at);
+        on_timely_reply(is_from_reader(reply, known), requested_at);
     }
     else
     {
-        on_late_reply(*answered, is_from_reader(reply));
+        on_late_reply(*answered, is_from_reader(reply, known));
     }
     peer_updates updates;
+    if (reply.m_as_of.epoch() < known.as_of().epoch())
+    {
+        ++m_counts.m_from_older_epochs;
+        return updates;
+    }
     updates.m_expiry_grace = reply.m_expiry_grace;
-    if (reply.m_as_of > 0 && is_usable(reply, *answered))
+    if (reply.m_as_of.has_items() && is_usable(reply, *answered))
     {
         updates.m_items = reply.m_is_full ? known.on_listing(reply.m_items, reply.m_unchanged, reply.m_as_of)
                                           : known.on_changes(reply.m_items, reply.m_as_of);
     }
-    const bool is_complete = known.as_of() >= reply.m_as_of && reply.m_as_of > 0;
+    const bool is_complete = reply.m_as_of.has_items() && known.as_of().epoch() == reply.m_as_of.epoch() &&
+                             known.as_of() >= reply.m_as_of;
     if (reply.m_confirmation_age && is_complete)
     {
         // ages are counted from the sending of the request, since the delay of the reply isn't known
--- a/packages/fleet/src/publication_log.cpp
+++ b/packages/fleet/src/publication_log.cpp
@@ -54,7 +54,13 @@
         }
         m_removed[item.m_key] = item.m_revision;
     }
-    m_history.push_back({item.m_revision, item.m_key});
+    record(item.m_revision, item.m_key);
+    return true;
+}
+
+void publication_log::record(std::uint64_t revision, const std::string& key)
+{
+    m_history.push_back({revision, key});
     while (m_history.size() > max_history)
     {
         const change& oldest = m_history.front();
@@ -66,7 +72,6 @@
         }
         m_history.pop_front();
     }
-    return true;
 }
 
 void publication_log::note_outdated(const published_item& item, const published_item& known)
@@ -77,25 +82,35 @@
     }
     if (m_outdated.is_empty())
     {
-        m_outdated = {0, 0, item.m_key, item.m_revision, known.m_revision};
+        m_outdated = {
+            0, 0, item.m_key, {m_as_of.epoch(), item.m_revision}, {m_as_of.epoch(), known.m_revision}};
     }
     ++m_outdated.m_items;
 }
 
+void publication_log::note_outdated(const publication_position& listing)
+{
+    if (m_outdated.is_empty())
+    {
+        m_outdated = {0, 0, {}, listing, m_as_of};
+    }
+    ++m_outdated.m_listings;
+}
+
 std::vector<published_item> publication_log::on_listing(const std::vector<published_item>& items,
                                                         const std::vector<std::string>& unchanged,
-                                                        std::uint64_t as_of)
+                                                        const publication_position& as_of)
 {
-    std::vector<published_item> changes;
     if (as_of < m_as_of)
     {
-        if (m_outdated.is_empty())
-        {
-            m_outdated = {0, 0, {}, as_of, m_as_of};
-        }
-        ++m_outdated.m_listings;
-        return changes;
+        note_outdated(as_of);
+        return {};
     }
+    if (as_of.epoch() != m_as_of.epoch())
+    {
+        return begin_epoch(items, as_of);
+    }
+    std::vector<published_item> changes;
     std::set<std::string> listed{unchanged.begin(), unchanged.end()};
     for (const published_item& item : items)
     {
@@ -108,29 +123,69 @@
     std::vector<std::string> missing;
     for (const auto& [key, item] : m_items)
     {
-        if (listed.count(key) == 0 && item.m_revision <= as_of)
+        if (listed.count(key) == 0 && item.m_revision <= as_of.revision())
+        {
+            missing.push_back(key);
+        }
+    }
+    remove_missing(missing, as_of, changes);
+    return changes;
+}
+
+std::vector<published_item> publication_log::begin_epoch(const std::vector<published_item>& items,
+                                                         const publication_position& as_of)
+{
+    const std::unordered_map<std::string, published_item> before = std::exchange(m_items, {});
+    m_removed.clear();
+    m_history.clear();
+    m_history_from = 0;
+    std::vector<published_item> changes;
+    for (const published_item& item : items)
+    {
+        const auto known = before.find(item.m_key);
+        if (known == before.end() || known->second.m_value != item.m_value)
+        {
+            changes.push_back(item);
+        }
+        m_items.insert_or_assign(item.m_key, item);
+        record(item.m_revision, item.m_key);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [key, item] : before)
+    {
+        if (m_items.count(key) == 0)
         {
             missing.push_back(key);
         }
     }
-    for (const std::string& key : missing)
+    remove_missing(missing, as_of, changes);
+    return changes;
+}
+
+void publication_log::remove_missing(const std::vector<std::string>& keys, const publication_position& as_of,
+                                     std::vector<published_item>& changes)
+{
+    for (const std::string& key : keys)
     {
         // the revision of the removal isn't known; it is at most the revision of the listing
-        const published_item removal{key, std::nullopt, as_of};
         m_items.erase(key);
-        m_removed[key] = as_of;
-        m_history.push_back({as_of, key});
-        changes.push_back(removal);
+        m_removed[key] = as_of.revision();
+        m_history.push_back({as_of.revision(), key});
+        changes.push_back({key, std::nullopt, as_of.revision()});
     }
     // items that were added and removed again before the listing aren't in the history
-    m_history_from = std::max(m_history_from, as_of);
+    m_history_from = std::max(m_history_from, as_of.revision());
     m_as_of = as_of;
-    return changes;
 }
 
 std::vector<published_item> publication_log::on_changes(const std::vector<published_item>& items,
-                                                        std::uint64_t as_of)
+                                                        const publication_position& as_of)
 {
+    if (as_of.epoch() != m_as_of.epoch())
+    {
+        note_outdated(as_of);
+        return {};
+    }
     std::vector<published_item> changes;
     for (const published_item& item : items)
     {
@@ -143,7 +198,26 @@
     return changes;
 }
 
-publication_delta publication_log::since(std::uint64_t have) const
+publication_delta publication_log::all_items(const publication_position& have) const
+{
+    publication_delta delta;
+    delta.m_as_of = m_as_of;
+    delta.m_is_full = true;
+    for (const auto& [key, item] : m_items)
+    {
+        if (have.epoch() != m_as_of.epoch() || item.m_revision > have.revision())
+        {
+            delta.m_items.push_back(item);
+        }
+        else
+        {
+            delta.m_unchanged.push_back(key);
+        }
+    }
+    return delta;
+}
+
+publication_delta publication_log::since(const publication_position& have) const
 {
     publication_delta delta;
     delta.m_as_of = m_as_of;
@@ -151,26 +225,14 @@
     {
         return delta;
     }
-    delta.m_is_full = have < m_history_from;
-    if (delta.m_is_full)
+    if (have.epoch() != m_as_of.epoch() || have.revision() < m_history_from)
     {
-        for (const auto& [key, item] : m_items)
-        {
-            if (item.m_revision > have)
-            {
-                delta.m_items.push_back(item);
-            }
-            else
-            {
-                delta.m_unchanged.push_back(key);
-            }
-        }
-        return delta;
+        return all_items(have);
     }
     std::set<std::string> changed;
     for (const change& each : m_history)
     {
-        if (each.m_revision > have)
+        if (each.m_revision > have.revision())
         {
             changed.insert(each.m_key);
         }
@@ -184,7 +246,8 @@
             continue;
         }
         const auto removed = m_removed.find(key);
-        delta.m_items.push_back({key, std::nullopt, removed == m_removed.end() ? m_as_of : removed->second});
+        const std::uint64_t revision = removed == m_removed.end() ? m_as_of.revision() : removed->second;
+        delta.m_items.push_back({key, std::nullopt, revision});
     }
     std::sort(delta.m_items.begin(), delta.m_items.end(),
               [](const published_item& lhs, const published_item& rhs)
--- a/packages/fleet/src/put_content.cpp
+++ b/packages/fleet/src/put_content.cpp
@@ -213,14 +213,19 @@
 void put(wire::PeerMessage& wire, const publication_request& content)
 {
     wire.mutable_publication_request()->set_call(content.m_call);
-    wire.mutable_publication_request()->set_have(content.m_have);
+    wire.mutable_publication_request()->set_have(content.m_have.revision());
+    if (content.m_knows_epochs)
+    {
+        wire.mutable_publication_request()->set_epoch(content.m_have.epoch());
+    }
 }
 
 void put(wire::PeerMessage& wire, const publication_reply& content)
 {
     wire::PublicationReply& target = *wire.mutable_publication_reply();
     target.set_call(content.m_call);
-    target.set_as_of(content.m_as_of);
+    target.set_as_of(content.m_as_of.revision());
+    target.set_epoch(content.m_as_of.epoch());
     target.set_full(content.m_is_full);
     target.set_proved(content.m_confirmation_age.has_value());
     target.set_proof_age_ms(to_wire(content.m_confirmation_age.value_or(std::chrono::milliseconds{0})));
--- a/packages/fleet/src/take_content.cpp
+++ b/packages/fleet/src/take_content.cpp
@@ -139,11 +139,16 @@
                         finite(source.tokens()), holder(source.holder()), source.settled()};
 }
 
+publication_request take(const wire::PublicationRequest& source)
+{
+    return {source.call(), {source.epoch(), source.have()}, source.has_epoch()};
+}
+
 publication_reply take(const wire::PublicationReply& source)
 {
     publication_reply result;
     result.m_call = source.call();
-    result.m_as_of = source.as_of();
+    result.m_as_of = {source.epoch(), source.as_of()};
     result.m_is_full = source.full();
     result.m_expiry_grace = std::chrono::milliseconds{source.lapse_left_ms()};
     result.m_is_reader = source.reader();
@@ -261,7 +266,7 @@
                            std::chrono::milliseconds{wire.token_grant().retry_after_ms()},
                            holder(wire.token_grant().holder())};
     case wire::PeerMessage::kPublicationRequest:
-        return publication_request{wire.publication_request().call(), wire.publication_request().have()};
+        return take(wire.publication_request());
     case wire::PeerMessage::kPublicationReply:
         return take(wire.publication_reply());
     case wire::PeerMessage::kBucketRequest:
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -106,20 +106,20 @@
     @brief called with a complete listing of the published items
 
     @param[in] items  all items
-    @param[in] as_of  revision of the listing; later changes are passed to @ref on_changes
+    @param[in] as_of  position of the listing; later changes are passed to @ref on_changes
     @param[in] times  up to when the listing is complete
     */
-    virtual void on_listing(const std::vector<published_item>& items, std::uint64_t as_of,
+    virtual void on_listing(const std::vector<published_item>& items, const publication_position& as_of,
                             const confirmation_times& times) = 0;
 
     /*!
     @brief called with the changes since the previous call, which may be none
 
     @param[in] items  changed and removed items
-    @param[in] as_of  revision up to which all changes have been passed
+    @param[in] as_of  position up to which all changes have been passed, in the epoch of the last listing
     @param[in] times  up to when all changes have been passed
     */
-    virtual void on_changes(const std::vector<published_item>& items, std::uint64_t as_of,
+    virtual void on_changes(const std::vector<published_item>& items, const publication_position& as_of,
                             const confirmation_times& times) = 0;
 
     /// called when the source becomes reachable or unreachable
@@ -138,9 +138,10 @@
     /*!
     @brief starts to read; has no effect if the source is being read already
 
-    @param[in] known_revision  revision up to which all changes were received; 0 if there was no listing yet
+    @param[in] known  position up to which all changes were received; without items if there was no listing
+    yet
     */
-    virtual void start(std::uint64_t known_revision) = 0;
+    virtual void start(const publication_position& known) = 0;
 
     /// stops reading
     virtual void stop() = 0;
--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -129,7 +129,10 @@
          << name << "not_reader\"} " << counts.m_from_others << '\n'
          << name << "unanswered\"} " << counts.m_unanswered << '\n'
          << name << "late\"} " << counts.m_late << '\n';
-    return text.str() +
+    return text.str() + exposition_line("teasellead_publication_epoch", "gauge", m_items.as_of().epoch()) +
+           exposition_line("teasellead_publication_revision", "gauge", m_items.as_of().revision()) +
+           exposition_line("teasellead_publication_older_epoch_replies_total", "counter",
+                           counts.m_from_older_epochs) +
            exposition_line("teasellead_publication_full_replies_total", "counter", counts.m_full_replies) +
            exposition_line("teasellead_publication_deferred_replies_total", "counter", counts.m_deferred) +
            exposition_line("teasellead_publication_relayed_bytes_total", "counter", counts.m_relayed_bytes) +
@@ -140,6 +143,7 @@
 
 void publication_agent::on_reply(const endpoint& sender, const publication_reply& reply)
 {
+    const publication_position before = m_items.as_of();
     const auto updates = m_follower.on_reply(sender, reply, m_items);
     if (!updates)
     {
@@ -149,7 +153,7 @@
     {
         extend_expiry_grace(m_clock.now() + updates->m_expiry_grace);
     }
-    apply_all(updates->m_items, "peer");
+    apply_changes(before, updates->m_items, "peer");
     // the follower itself has recorded the confirmation already
     if (updates->m_confirmed_at && !m_has_invalid_item)
     {
@@ -157,18 +161,26 @@
     }
 }
 
-void publication_agent::on_listing(const std::vector<published_item>& items, std::uint64_t as_of,
-                                   const confirmation_times& times)
+void publication_agent::on_listing(const std::vector<published_item>& items,
+                                   const publication_position& as_of, const confirmation_times& times)
 {
-    apply_all(m_items.on_listing(items, as_of), "source");
-    confirm(times);
+    const publication_position before = m_items.as_of();
+    apply_changes(before, m_items.on_listing(items, as_of), "source");
+    if (m_items.as_of().epoch() == as_of.epoch())
+    {
+        confirm(times);
+    }
 }
 
-void publication_agent::on_changes(const std::vector<published_item>& items, std::uint64_t as_of,
-                                   const confirmation_times& times)
+void publication_agent::on_changes(const std::vector<published_item>& items,
+                                   const publication_position& as_of, const confirmation_times& times)
 {
-    apply_all(m_items.on_changes(items, as_of), "source");
-    confirm(times);
+    const publication_position before = m_items.as_of();
+    apply_changes(before, m_items.on_changes(items, as_of), "source");
+    if (before.epoch() == as_of.epoch())
+    {
+        confirm(times);
+    }
 }
 
 void publication_agent::on_source_status(bool is_reachable, const std::string& reason)
@@ -210,6 +222,23 @@
     return m_clock.now() < m_expiry_grace_end;
 }
 
+void publication_agent::apply_changes(const publication_position& before,
+                                      const std::vector<published_item>& items, std::string_view origin)
+{
+    const publication_position& after = m_items.as_of();
+    if (before.has_items() && after.epoch() != before.epoch())
+    {
+        m_log.write(log_level::warning, "source_restored",
+                    {{"epoch", after.epoch()},
+                     {"revision", after.revision()},
+                     {"previous_epoch", before.epoch()},
+                     {"previous_revision", before.revision()},
+                     {"changes", std::uint64_t{items.size()}},
+                     {"origin", origin}});
+    }
+    apply_all(items, origin);
+}
+
 void publication_agent::apply_all(const std::vector<published_item>& items, std::string_view origin)
 {
     for (const published_item& item : items)
@@ -243,8 +272,10 @@
                  {"items", passed.m_items},
                  {"listings", passed.m_listings},
                  {"key", passed.m_key},
-                 {"revision", passed.m_revision},
-                 {"known", passed.m_known}});
+                 {"epoch", passed.m_position.epoch()},
+                 {"revision", passed.m_position.revision()},
+                 {"known_epoch", passed.m_known.epoch()},
+                 {"known_revision", passed.m_known.revision()}});
 }
 
 void publication_agent::apply_entry(const upstream_published& published, std::uint64_t revision,
--- a/packages/runtime/src/publication_agent.hpp
+++ b/packages/runtime/src/publication_agent.hpp
@@ -40,7 +40,7 @@
     /// whether a complete listing of the published items has been received
     [[nodiscard]] bool is_complete() const noexcept
     {
-        return m_items.as_of() > 0;
+        return m_items.as_of().has_items();
     }
 
     /// number of calls that the source made to the platform
@@ -64,14 +64,17 @@
     /// applies the items of a peer's reply
     void on_reply(const endpoint& sender, const publication_reply& reply);
 
-    void on_listing(const std::vector<published_item>& items, std::uint64_t as_of,
+    void on_listing(const std::vector<published_item>& items, const publication_position& as_of,
                     const confirmation_times& times) override;
-    void on_changes(const std::vector<published_item>& items, std::uint64_t as_of,
+    void on_changes(const std::vector<published_item>& items, const publication_position& as_of,
                     const confirmation_times& times) override;
     void on_source_status(bool is_reachable, const std::string& reason) override;
 
   private:
     void confirm(const confirmation_times& times);
+    /// applies changes of this node's copy, which was at a position before them
+    void apply_changes(const publication_position& before, const std::vector<published_item>& items,
+                       std::string_view origin);
     void apply_all(const std::vector<published_item>& items, std::string_view origin);
     void apply(const published_item& item, std::string_view origin);
     void apply_entry(const upstream_published& published, std::uint64_t revision, std::string_view origin);
--- a/tests/support/forwarding/simulated_source.hpp
+++ b/tests/support/forwarding/simulated_source.hpp
@@ -36,12 +36,12 @@
     {
     }
 
-    void start(std::uint64_t known_to) override
+    void start(const publication_position& known) override
     {
         if (!m_is_started)
         {
             m_is_started = true;
-            m_known_to = known_to;
+            m_known = known;
             ask();
         }
     }
@@ -109,9 +109,9 @@
         {
             return;
         }
-        const auto changes = m_store.changes_after(m_known_to);
-        const std::uint64_t as_of = m_store.revision();
-        if (m_known_to == 0 || !changes)
+        const auto changes = m_store.changes_after(m_known);
+        const publication_position as_of = m_store.position();
+        if (!m_known.has_items() || !changes)
         {
             answer(
                 [this, items = m_store.listing(), as_of, requested_at] {
@@ -134,7 +134,7 @@
             as_of);
     }
 
-    void answer(const std::function<void()>& deliver, std::uint64_t as_of)
+    void answer(const std::function<void()>& deliver, const publication_position& as_of)
     {
         later_here(one_way,
                    [this, deliver, as_of]
@@ -143,7 +143,7 @@
                        {
                            return;
                        }
-                       m_known_to = as_of;
+                       m_known = as_of;
                        if (!m_is_reachable)
                        {
                            m_is_reachable = true;
@@ -175,7 +175,7 @@
     std::shared_ptr<int> m_alive{std::make_shared<int>(0)};
     std::uint64_t m_call{0}; ///< current call; actions scheduled for other calls are ignored
     std::uint64_t m_calls{0};
-    std::uint64_t m_known_to{0};
+    publication_position m_known;
     bool m_is_started{false};
     bool m_is_reachable{true};
 };
--- a/tests/support/forwarding/simulated_store.hpp
+++ b/tests/support/forwarding/simulated_store.hpp
@@ -53,10 +53,12 @@
         return result;
     }
 
-    /// changes after a revision, or nothing if the history no longer contains them
-    [[nodiscard]] std::optional<std::vector<published_item>> changes_after(std::uint64_t revision) const
+    /// changes after a position, or nothing if the history no longer contains them
+    [[nodiscard]] std::optional<std::vector<published_item>>
+    changes_after(const publication_position& known) const
     {
-        if (revision < m_forgotten_to)
+        const std::uint64_t revision = known.revision();
+        if (revision < m_forgotten_to || known.epoch() != m_epoch)
         {
             return std::nullopt;
         }
@@ -71,9 +73,9 @@
         return result;
     }
 
-    [[nodiscard]] std::uint64_t revision() const noexcept
+    [[nodiscard]] publication_position position() const noexcept
     {
-        return m_revision;
+        return {m_epoch, m_revision};
     }
 
     /// the decoded value of an item
@@ -133,6 +135,7 @@
     }
 
     const event_queue& m_queue;
+    std::uint64_t m_epoch{1};
     std::uint64_t m_revision{0};
     std::uint64_t m_forgotten_to{0};
     std::map<std::string, published_item> m_items;
--- a/tests/support/publication_fleet.hpp
+++ b/tests/support/publication_fleet.hpp
@@ -121,7 +121,77 @@
         const std::string changed = std::to_string(m_revision);
         text.replace(text.size() / 2, changed.size(), changed);
         m_published.push_back({"op/config", std::move(text), m_revision});
-        m_changes.push_back({m_revision, now()});
+        m_changes.push_back({position(), now()});
+    }
+
+    /// replaces the value of one of the other items
+    void publish_entry(std::size_t entry, const std::string& value)
+    {
+        ++m_revision;
+        const std::string key = "servers/" + std::to_string(entry);
+        std::erase_if(m_published, [&](const published_item& item) { return item.m_key == key; });
+        m_published.push_back({key, value, m_revision});
+        m_changes.push_back({position(), now()});
+    }
+
+    /// what the source holds at a moment
+    struct backup
+    {
+        std::vector<published_item> m_published;
+        std::uint64_t m_revision{0};
+    };
+
+    [[nodiscard]] backup back_up() const
+    {
+        return {m_published, m_revision};
+    }
+
+    /// the source answers no call until it is restored
+    void take_source_away() noexcept
+    {
+        m_is_away = true;
+    }
+
+    /// the source comes back from a backup: it has lost the changes since, and gives their revisions out
+    /// again
+    void restore(const backup& earlier)
+    {
+        m_is_away = false;
+        m_published = earlier.m_published;
+        m_revision = earlier.m_revision;
+        m_history_from = m_revision;
+        ++m_epoch;
+        m_changes.clear();
+        m_changes.push_back({position(), now()});
+    }
+
+    /// the place up to which the source has changes
+    [[nodiscard]] publication_position position() const noexcept
+    {
+        return {m_epoch, m_revision};
+    }
+
+    /// the place up to which a node has changes
+    [[nodiscard]] publication_position position_of(std::size_t index) const
+    {
+        return m_nodes[index]->m_log.as_of();
+    }
+
+    /// number of items whose value at a node isn't the one at the source
+    [[nodiscard]] std::size_t wrong_items(std::size_t index) const
+    {
+        std::map<std::string, std::optional<std::string>> known;
+        for (const published_item& item : m_nodes[index]->m_log.since({}).m_items)
+        {
+            known[item.m_key] = item.m_value;
+        }
+        std::size_t result = known.size() - std::min(known.size(), m_published.size());
+        for (const published_item& item : m_published)
+        {
+            const auto found = known.find(item.m_key);
+            result += found == known.end() || found->second != item.m_value ? 1 : 0;
+        }
+        return result;
     }
 
     void set_source_fault(std::size_t index, source_fault fault)
@@ -158,10 +228,10 @@
     /// how long a node has gone without the oldest change that it lacks; zero if it lacks none
     [[nodiscard]] duration lag(std::size_t index) const
     {
-        const std::uint64_t known = m_nodes[index]->m_log.as_of();
-        for (const auto& [revision, published_at] : m_changes)
+        const publication_position known = m_nodes[index]->m_log.as_of();
+        for (const auto& [changed_to, published_at] : m_changes)
         {
-            if (revision > known)
+            if (changed_to > known)
             {
                 return now() - published_at;
             }
@@ -231,11 +301,11 @@
     {
         m_events.after(tick_period, [this, index] { tick(index); });
         node& self = *m_nodes[index];
-        const bool reads = self.m_log.as_of() == 0 || self.m_follower.reads_source(now());
+        const bool reads = !self.m_log.as_of().has_items() || self.m_follower.reads_source(now());
         if (reads && !self.m_is_reading)
         {
             self.m_is_reading = true;
-            self.m_schedule.on_start(self.m_log.as_of() > 0);
+            self.m_schedule.on_start(self.m_log.as_of().has_items());
             call_source(index);
         }
         else if (!reads && self.m_is_reading)
@@ -271,23 +341,23 @@
     void hold_call(std::size_t index, std::uint64_t call, time_point sent_at, time_point held_since)
     {
         node& self = *m_nodes[index];
-        if (self.m_call != call || self.m_source_fault != source_fault::none)
+        if (self.m_call != call || self.m_source_fault != source_fault::none || m_is_away)
         {
             return;
         }
-        const std::uint64_t known = self.m_log.as_of();
-        if (known == m_revision && now() - held_since < self.m_wait)
+        const publication_position known = self.m_log.as_of();
+        if (known == position() && now() - held_since < self.m_wait)
         {
             m_events.after(source_delay, [this, index, call, sent_at, held_since]
                            { hold_call(index, call, sent_at, held_since); });
             return;
         }
-        const bool is_listing = known < m_history_from;
+        const bool is_listing = known.epoch() != m_epoch || known.revision() < m_history_from;
         std::vector<published_item> changes;
         std::size_t bytes = call_bytes;
         for (const published_item& item : m_published)
         {
-            if (is_listing || item.m_revision > known)
+            if (is_listing || item.m_revision > known.revision())
             {
                 changes.push_back(item);
                 bytes +=
@@ -296,15 +366,15 @@
         }
         const time_point received_at = self.m_down.send(bytes, now() + network_delay);
         m_events.at(received_at,
-                    [this, index, call, sent_at, is_listing, items = std::move(changes), as_of = m_revision]
+                    [this, index, call, sent_at, is_listing, items = std::move(changes), as_of = position()]
                     { receive_items(index, call, sent_at, is_listing, items, as_of); });
     }
 
     void receive_items(std::size_t index, std::uint64_t call, time_point sent_at, bool is_listing,
-                       const std::vector<published_item>& items, std::uint64_t as_of)
+                       const std::vector<published_item>& items, const publication_position& as_of)
     {
         node& self = *m_nodes[index];
-        if (self.m_call != call || self.m_source_fault != source_fault::none)
+        if (self.m_call != call || self.m_source_fault != source_fault::none || m_is_away)
         {
             return;
         }
@@ -391,10 +461,12 @@
     event_queue m_events;
     random_source m_random;
     std::vector<std::unique_ptr<node>> m_nodes;
+    std::uint64_t m_epoch{1};
     std::uint64_t m_revision{0};
+    bool m_is_away{false};           ///< whether the source answers no call
     std::uint64_t m_history_from{0}; ///< later changes are in the source's history
     std::vector<published_item> m_published;
-    std::vector<std::pair<std::uint64_t, time_point>> m_changes; ///< revisions and times of the changes
+    std::vector<std::pair<publication_position, time_point>> m_changes; ///< places and times of the changes
 };
 
 } // namespace teasellead::testing
--- a/tests/unit/fleet/unit-publication.cpp
+++ b/tests/unit/fleet/unit-publication.cpp
@@ -24,6 +24,12 @@
 // how long the source holds a call while nothing changes
 constexpr duration watch_time = 1200ms;
 
+/// a position in the only epoch
+publication_position at(std::uint64_t revision)
+{
+    return {1, revision};
+}
+
 published_item item_of(const std::string& key, const std::string& value, std::uint64_t revision)
 {
     return {key, value, revision};
@@ -149,7 +155,7 @@
     {
         for (std::size_t i = 0; i < m_nodes.size(); ++i)
         {
-            if (m_stopped.count(i) == 0 && m_nodes[i].m_log.as_of() < revision)
+            if (m_stopped.count(i) == 0 && m_nodes[i].m_log.as_of() < at(revision))
             {
                 return false;
             }
@@ -196,7 +202,7 @@
     void read_source(std::size_t index)
     {
         fleet_node& self = m_nodes[index];
-        const bool is_first = self.m_log.as_of() == 0;
+        const bool is_first = !self.m_log.as_of().has_items();
         if (!is_first && !self.m_follower.reads_source(m_now))
         {
             self.m_is_watching = false;
@@ -219,7 +225,7 @@
             return;
         }
         self.m_follower.on_source(true, m_now);
-        self.m_log.on_listing({m_published}, m_revision);
+        self.m_log.on_listing({m_published}, at(m_revision));
         self.m_follower.on_confirmation({m_now, m_now});
         self.m_proved_at = m_now;
     }
@@ -233,10 +239,10 @@
             ++m_reads;
             return;
         }
-        const bool has_change = self.m_log.as_of() < m_revision;
+        const bool has_change = self.m_log.as_of() < at(m_revision);
         if (has_change || m_now - self.m_watch_began >= watch_time)
         {
-            self.m_log.on_changes({m_published}, m_revision);
+            self.m_log.on_changes({m_published}, at(m_revision));
             self.m_follower.on_confirmation({self.m_watch_began, has_change ? self.m_watch_began : m_now});
             self.m_proved_at = std::max(self.m_proved_at, self.m_watch_began);
             self.m_is_watching = false;
@@ -312,69 +318,69 @@
     {
         publication_log first;
         publication_log second;
-        first.on_listing({item_of("a", "1", 3), item_of("b", "1", 4)}, 5);
-        second.on_listing({item_of("a", "1", 3), item_of("b", "1", 4)}, 5);
-        first.on_changes({item_of("a", "2", 6), {"b", std::nullopt, 7}, item_of("c", "1", 8)}, 8);
+        first.on_listing({item_of("a", "1", 3), item_of("b", "1", 4)}, at(5));
+        second.on_listing({item_of("a", "1", 3), item_of("b", "1", 4)}, at(5));
+        first.on_changes({item_of("a", "2", 6), {"b", std::nullopt, 7}, item_of("c", "1", 8)}, at(8));
         const publication_delta delta = first.since(second.as_of());
         CPPUNIT_ASSERT(!delta.m_is_full);
         const auto updates = second.on_changes(delta.m_items, delta.m_as_of);
         const std::vector<published_item> expected{
             item_of("a", "2", 6), {"b", std::nullopt, 7}, item_of("c", "1", 8)};
         CPPUNIT_ASSERT(updates == expected);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, second.as_of());
-        CPPUNIT_ASSERT(first.since(8).m_items.empty());
+        CPPUNIT_ASSERT(second.as_of() == at(8));
+        CPPUNIT_ASSERT(first.since(at(8)).m_items.empty());
     }
 
     void listing_reports_removed_items()
     {
         publication_log log;
-        log.on_listing({item_of("a", "1", 3), item_of("b", "1", 4)}, 5);
-        const auto updates = log.on_listing({item_of("b", "1", 4)}, 9);
+        log.on_listing({item_of("a", "1", 3), item_of("b", "1", 4)}, at(5));
+        const auto updates = log.on_listing({item_of("b", "1", 4)}, at(9));
         CPPUNIT_ASSERT((updates == std::vector<published_item>{{"a", std::nullopt, 9}}));
         // a late event from before the removal doesn't restore the removed item
-        CPPUNIT_ASSERT(log.on_changes({item_of("a", "1", 6)}, 9).empty());
+        CPPUNIT_ASSERT(log.on_changes({item_of("a", "1", 6)}, at(9)).empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.size());
     }
 
     void older_updates_change_nothing()
     {
         publication_log log;
-        log.on_listing({item_of("a", "2", 6)}, 8);
-        CPPUNIT_ASSERT(log.on_listing({item_of("a", "1", 3)}, 5).empty());
-        CPPUNIT_ASSERT(log.on_changes({item_of("a", "1", 3)}, 5).empty());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, log.as_of());
+        log.on_listing({item_of("a", "2", 6)}, at(8));
+        CPPUNIT_ASSERT(log.on_listing({item_of("a", "1", 3)}, at(5)).empty());
+        CPPUNIT_ASSERT(log.on_changes({item_of("a", "1", 3)}, at(5)).empty());
+        CPPUNIT_ASSERT(log.as_of() == at(8));
     }
 
     // guards against updates that a node passes over without a trace: nothing told why it used an upstream
     void older_updates_are_reported()
     {
         publication_log log;
-        log.on_listing({item_of("a", "2", 6), item_of("b", "1", 2)}, 8);
-        log.on_changes({item_of("a", "2", 6), item_of("b", "1", 2)}, 8);
+        log.on_listing({item_of("a", "2", 6), item_of("b", "1", 2)}, at(8));
+        log.on_changes({item_of("a", "2", 6), item_of("b", "1", 2)}, at(8));
         CPPUNIT_ASSERT(log.take_outdated().is_empty());
-        log.on_changes({item_of("a", "1", 3), item_of("b", "0", 1), item_of("a", "3", 6)}, 8);
-        CPPUNIT_ASSERT((log.take_outdated() == outdated_publications{3, 0, "a", 3, 6}));
-        log.on_listing({item_of("a", "1", 3)}, 5);
-        CPPUNIT_ASSERT((log.take_outdated() == outdated_publications{0, 1, {}, 5, 8}));
+        log.on_changes({item_of("a", "1", 3), item_of("b", "0", 1), item_of("a", "3", 6)}, at(8));
+        CPPUNIT_ASSERT((log.take_outdated() == outdated_publications{3, 0, "a", at(3), at(6)}));
+        log.on_listing({item_of("a", "1", 3)}, at(5));
+        CPPUNIT_ASSERT((log.take_outdated() == outdated_publications{0, 1, {}, at(5), at(8)}));
         CPPUNIT_ASSERT(log.take_outdated().is_empty());
     }
 
     void request_for_an_old_revision_gets_all_items()
     {
         publication_log log;
-        log.on_listing({item_of("a", "1", 1)}, 1);
+        log.on_listing({item_of("a", "1", 1)}, at(1));
         for (std::uint64_t revision = 2; revision < 3000; ++revision)
         {
-            log.on_changes({item_of("b", std::to_string(revision), revision)}, revision);
+            log.on_changes({item_of("b", std::to_string(revision), revision)}, at(revision));
         }
-        CPPUNIT_ASSERT(log.since(10).m_is_full);
+        CPPUNIT_ASSERT(log.since(at(10)).m_is_full);
         // the requesting node has the item that hasn't changed since its revision
-        CPPUNIT_ASSERT((log.since(10).m_items == std::vector{item_of("b", "2999", 2999)}));
-        CPPUNIT_ASSERT((log.since(10).m_unchanged == std::vector<std::string>{"a"}));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, log.since(0).m_items.size());
-        CPPUNIT_ASSERT(log.since(0).m_unchanged.empty());
-        CPPUNIT_ASSERT(!log.since(2990).m_is_full);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.since(2990).m_items.size());
+        CPPUNIT_ASSERT((log.since(at(10)).m_items == std::vector{item_of("b", "2999", 2999)}));
+        CPPUNIT_ASSERT((log.since(at(10)).m_unchanged == std::vector<std::string>{"a"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, log.since({}).m_items.size());
+        CPPUNIT_ASSERT(log.since({}).m_unchanged.empty());
+        CPPUNIT_ASSERT(!log.since(at(2990)).m_is_full);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.since(at(2990)).m_items.size());
     }
 
     void one_node_reads_and_all_receive_updates()
@@ -505,9 +511,11 @@
     void round_trips_messages()
     {
         const std::vector<peer_content> contents{
-            publication_request{3, 4},
+            publication_request{3, {2, 4}},
+            publication_request{3, {0, 4}},
+            publication_request{3, {0, 4}, false},
             publication_reply{3,
-                              9,
+                              {2, 9},
                               true,
                               {item_of("a", std::string("\0\xff", 2), 7), {"b", std::nullopt, 8}},
                               120ms,
@@ -515,7 +523,7 @@
                               5ms,
                               true,
                               {"c", "d"}},
-            publication_reply{3, 9, false, {}, std::nullopt, std::nullopt, 0ms, false, {}},
+            publication_reply{3, {0, 9}, false, {}, std::nullopt, std::nullopt, 0ms, false, {}},
             token_request{1, "school", 4},
             token_grant{1, "school", 0, 250ms},
             token_grant{1, "school", 0, 250ms, address_of(2)},
--- a/tests/unit/runtime/unit-publication-agent.cpp
+++ b/tests/unit/runtime/unit-publication-agent.cpp
@@ -20,7 +20,7 @@
 class idle_source final : public publication_source
 {
   public:
-    void start(std::uint64_t) override
+    void start(const publication_position&) override
     {
     }
     void stop() override
@@ -86,7 +86,7 @@
         m_clock.advance(1h);
         m_agent = std::make_unique<publication_agent>(m_platform, m_loop, m_clock, endpoint{1, 7000}, m_lease,
                                                       m_directory, m_log, [](received_declarations) {});
-        m_agent->on_listing({{instance, "ready", 1}}, 1, now());
+        m_agent->on_listing({{instance, "ready", 1}}, at(1), now());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_directory.size());
     }
 
@@ -123,6 +123,11 @@
     }
 
   private:
+    static publication_position at(std::uint64_t revision)
+    {
+        return {1, revision};
+    }
+
     [[nodiscard]] confirmation_times now() const
     {
         return {m_clock.now(), m_clock.now()};
@@ -141,14 +146,14 @@
         for (duration passed{}; passed < length; passed += period)
         {
             step(period);
-            m_agent->on_changes({}, m_revision, now());
+            m_agent->on_changes({}, at(m_revision), now());
         }
     }
 
     void remove()
     {
         ++m_revision;
-        m_agent->on_changes({{instance, std::nullopt, m_revision}}, m_revision, now());
+        m_agent->on_changes({{instance, std::nullopt, m_revision}}, at(m_revision), now());
         m_removed_at = m_clock.now();
     }
 
--- a/tests/unit/store-reader/started_reader.hpp
+++ b/tests/unit/store-reader/started_reader.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,15 +24,16 @@
 class recording_sink final : public runtime::publication_sink
 {
   public:
-    void on_listing(const std::vector<published_item>& items, std::uint64_t,
+    void on_listing(const std::vector<published_item>& items, const publication_position& as_of,
                     const confirmation_times&) override
     {
         const std::scoped_lock lock{m_mutex};
         m_listing = items;
+        m_listed_to = as_of;
         m_changed.notify_all();
     }
 
-    void on_changes(const std::vector<published_item>& items, std::uint64_t,
+    void on_changes(const std::vector<published_item>& items, const publication_position&,
                     const confirmation_times&) override
     {
         const std::scoped_lock lock{m_mutex};
@@ -51,6 +53,25 @@
         return m_listing;
     }
 
+    /// whether a listing of a position comes in time
+    bool is_listed_to(const publication_position& expected)
+    {
+        std::unique_lock lock{m_mutex};
+        return m_changed.wait_for(lock, enough, [&] { return m_listed_to == expected; });
+    }
+
+    /// keys of all changes so far
+    std::set<std::string> changed_keys()
+    {
+        const std::scoped_lock lock{m_mutex};
+        std::set<std::string> result;
+        for (const published_item& each : m_changes)
+        {
+            result.insert(each.m_key);
+        }
+        return result;
+    }
+
     void forget_listing()
     {
         const std::scoped_lock lock{m_mutex};
@@ -75,6 +96,7 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::optional<std::vector<published_item>> m_listing;
+    publication_position m_listed_to;
     std::vector<published_item> m_changes;
 };
 
@@ -90,7 +112,7 @@
             [this]
             {
                 m_reader = std::make_unique<store_reader>(m_thread.loop(), m_clock, m_sink, m_settings);
-                m_reader->start(0);
+                m_reader->start({});
             });
     }
 
