What a restored store has lost or brings back doesn't change what nodes know of leaving and evacuations

Cause: missing from a listing and removed were one, and so were listed and alive.

Change, each with a test in source_return_test: - an upstream that is missing is kept for 2.2 s, as after an outage: those that live write again within two seconds; - an upstream whose entry was removed, and is in the listing with a sequence that was known, is held back for four report periods: one that has ended expires again in three, one that lives is used then, or once it writes; - one that said it was leaving stays so: its entry in the backup has a lower sequence (held before, now tested); - an evacuation that is missing stays in force for 60 s, in which the operator repeats it; - a second return begins all these times again.

--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -33,9 +33,10 @@
 /// what became of an entry that was published
 enum class entry_outcome
 {
-    listed,   ///< its upstream is listed with this entry
-    outdated, ///< passed over: a later report of the same upstream is known
-    removed   ///< it is invalid, so its upstream isn't listed any more
+    listed,    ///< its upstream is listed with this entry
+    outdated,  ///< passed over: a later report of the same upstream is known
+    held_back, ///< from a backup, and its upstream was removed before: not listed yet
+    removed    ///< it is invalid, so its upstream isn't listed any more
 };
 
 /// an upstream whose process has ended without announcing it
@@ -110,6 +111,17 @@
     /// applies a new or changed entry; an invalid entry is treated as a removal
     entry_outcome on_change(const directory_item& item, time_point now);
 
+    /*!
+    @brief applies an entry that the store holds after it came back from a backup
+
+    An entry of an upstream that was removed before is held back until @ref release_held_back or a later
+    report: the upstream may have ended, which the store doesn't know any more. Such an entry expires again.
+    */
+    entry_outcome on_restored(const directory_item& item, time_point now);
+
+    /// lists the upstreams whose entries were held back and haven't expired since
+    void release_held_back(time_point now);
+
     /*!
     @brief applies the removal of an entry
 
@@ -256,6 +268,7 @@
     {
         std::int64_t m_incarnation{0};
         std::uint64_t m_sequence{0};
+        bool m_was_removed{false}; ///< whether its entry was removed and not published again
         bool m_has_announced_shutdown{false};
         time_point m_paused_until{};
     };
@@ -273,6 +286,8 @@
     [[nodiscard]] bool is_outdated(const upstream_entry& entry) const;
     void insert(const upstream_entry& entry, time_point now);
     void erase(const std::string& instance);
+    /// erases an instance whose entry the store doesn't have any more
+    void erase_removed(const std::string& instance);
     /// stores which instance uses an address; if an older instance used it and wasn't leaving, it has ended
     void record_address(const upstream_entry& entry);
 
@@ -285,7 +300,8 @@
     std::unordered_map<std::string, std::vector<shared_upstream>> m_by_service;
     std::unordered_map<endpoint, std::string> m_by_address; ///< instance names
     std::vector<ended_upstream> m_ended;
-    std::set<std::string> m_expired; ///< instances whose expired entries are kept
+    std::set<std::string> m_expired;                             ///< instances whose expired entries are kept
+    std::unordered_map<std::string, upstream_entry> m_held_back; ///< entries of a backup that aren't used yet
     std::unordered_map<std::string, instance_state>
         m_instance_states; ///< also of instances that were removed
 };
--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <sstream>
+#include <set>
 
 #include "teasellead/kernel/exceptions.hpp"
 #include "teasellead/kernel/overloaded.hpp"
@@ -18,6 +18,18 @@
 // entries that expired while the source was unreachable are published again within this time of its return
 constexpr milliseconds expiry_grace{2200};
 
+// an evacuation that the source has lost stays in force for this time, in which the operator repeats it
+constexpr std::chrono::seconds lost_evacuation_time{60};
+
+/// time after the source's return from a backup in which the entry of an upstream that has ended expires
+/// again
+duration held_back_time(const forwarding_settings& settings)
+{
+    // an entry expires after three periods without a report; one more for the source itself
+    constexpr int periods = 4;
+    return periods * settings.m_report_period;
+}
+
 /// periods of a node's requests to its peers, and the limit of its replies
 follower_settings follower_settings_of(const forwarding_settings& settings)
 {
@@ -42,30 +54,23 @@
     return item;
 }
 
-std::string_view state_of(const forwarding::directory_item& item)
+/// state of an entry in the log
+std::string_view state_of(const forwarding::directory_item& item, forwarding::entry_outcome outcome)
 {
-    if (!item.m_entry)
+    switch (outcome)
     {
+    case forwarding::entry_outcome::outdated:
+        return "outdated";
+    case forwarding::entry_outcome::held_back:
+        return "held_back";
+    case forwarding::entry_outcome::removed:
         return "unusable";
+    case forwarding::entry_outcome::listed:
+        break;
     }
     return item.m_entry->m_is_draining ? "draining" : "ready";
 }
 
-/// a counter by reason of what was passed over because something later is known
-std::string outdated_exposition(std::uint64_t items, std::uint64_t listings, std::uint64_t entries)
-{
-    std::ostringstream text;
-    text << "# HELP teasellead_publications_outdated_total Published items, listings of all items and "
-            "upstreams' "
-            "entries that were passed over because later ones are known.\n"
-            "# TYPE teasellead_publications_outdated_total counter\n";
-    constexpr std::string_view name = "teasellead_publications_outdated_total{kind=\"";
-    text << name << "item\"} " << items << '\n'
-         << name << "listing\"} " << listings << '\n'
-         << name << "entry\"} " << entries << '\n';
-    return text.str();
-}
-
 } // namespace
 
 publication_agent::publication_agent(const deployment& platform, asio::io_context& loop,
@@ -93,6 +98,7 @@
         m_has_expired_entries = false;
         m_directory.remove_expired();
     }
+    end_restoration(now);
     // the first listing is read from the source, because no peer is known yet
     const bool reads_source = !is_complete() || m_follower.reads_source(now);
     if (reads_source != m_reads_source)
@@ -118,29 +124,6 @@
                              now);
 }
 
-std::string publication_agent::exposition() const
-{
-    const follower_counts& counts = m_follower.counts();
-    std::ostringstream text;
-    text << "# HELP teasellead_publication_requests_total Requests for published items to peers, by result.\n"
-            "# TYPE teasellead_publication_requests_total counter\n";
-    constexpr std::string_view name = "teasellead_publication_requests_total{result=\"";
-    text << name << "reader\"} " << counts.m_from_readers << '\n'
-         << name << "not_reader\"} " << counts.m_from_others << '\n'
-         << name << "unanswered\"} " << counts.m_unanswered << '\n'
-         << name << "late\"} " << counts.m_late << '\n';
-    return text.str() + exposition_line("teasellead_publication_epoch", "gauge", m_items.as_of().epoch()) +
-           exposition_line("teasellead_publication_revision", "gauge", m_items.as_of().revision()) +
-           exposition_line("teasellead_publication_older_epoch_replies_total", "counter",
-                           counts.m_from_older_epochs) +
-           exposition_line("teasellead_publication_full_replies_total", "counter", counts.m_full_replies) +
-           exposition_line("teasellead_publication_deferred_replies_total", "counter", counts.m_deferred) +
-           exposition_line("teasellead_publication_relayed_bytes_total", "counter", counts.m_relayed_bytes) +
-           exposition_line("teasellead_publication_largest_reply_bytes", "gauge", counts.m_largest_reply) +
-           exposition_line("teasellead_source_calls_total", "counter", calls()) +
-           outdated_exposition(m_outdated_items, m_outdated_listings, m_outdated_entries);
-}
-
 void publication_agent::on_reply(const endpoint& sender, const publication_reply& reply)
 {
     const publication_position before = m_items.as_of();
@@ -226,8 +209,13 @@
                                       const std::vector<published_item>& items, std::string_view origin)
 {
     const publication_position& after = m_items.as_of();
-    if (before.has_items() && after.epoch() != before.epoch())
+    m_is_restoring = before.has_items() && after.epoch() != before.epoch();
+    if (m_is_restoring)
     {
+        const time_point now = m_clock.now();
+        extend_expiry_grace(now + expiry_grace);
+        m_held_back_end = now + held_back_time(m_platform.settings());
+        m_evacuations.keep_lost_until(now + lost_evacuation_time);
         m_log.write(log_level::warning, "source_restored",
                     {{"epoch", after.epoch()},
                      {"revision", after.revision()},
@@ -237,6 +225,26 @@
                      {"origin", origin}});
     }
     apply_all(items, origin);
+    m_is_restoring = false;
+}
+
+void publication_agent::end_restoration(time_point now)
+{
+    if (m_held_back_end != time_point{} && now >= m_held_back_end)
+    {
+        m_held_back_end = time_point{};
+        m_directory.release_held_back(now);
+    }
+    const std::set<std::string> ended = m_evacuations.end_lost(now);
+    for (const std::string& data_centre : ended)
+    {
+        m_log.write(log_level::warning, "evacuation",
+                    {{"data_centre", data_centre}, {"state", "not_repeated"}});
+    }
+    if (!ended.empty())
+    {
+        m_directory.set_evacuated(m_evacuations.in_force());
+    }
 }
 
 void publication_agent::apply_all(const std::vector<published_item>& items, std::string_view origin)
@@ -265,8 +273,8 @@
     {
         return;
     }
-    m_outdated_items += passed.m_items;
-    m_outdated_listings += passed.m_listings;
+    m_outdated.m_items += passed.m_items;
+    m_outdated.m_listings += passed.m_listings;
     m_log.write(log_level::info, "publication_outdated",
                 {{"origin", origin},
                  {"items", passed.m_items},
@@ -282,13 +290,14 @@
                                     std::string_view origin)
 {
     const forwarding::directory_item usable = without_own_address(published.m_item, m_platform.settings());
-    const forwarding::entry_outcome outcome = m_directory.on_change(usable, m_clock.now());
-    const bool is_outdated = outcome == forwarding::entry_outcome::outdated;
-    m_outdated_entries += is_outdated ? 1 : 0;
+    const time_point now = m_clock.now();
+    const forwarding::entry_outcome outcome =
+        m_is_restoring ? m_directory.on_restored(usable, now) : m_directory.on_change(usable, now);
+    m_outdated.m_entries += outcome == forwarding::entry_outcome::outdated ? 1 : 0;
     m_log.write(log_level::info, "upstream",
                 {{"instance", usable.m_instance},
                  {"service", usable.m_entry ? usable.m_entry->m_service : ""},
-                 {"state", is_outdated ? "outdated" : state_of(usable)},
+                 {"state", state_of(usable, outcome)},
                  {"revision", revision},
                  {"sequence", usable.m_entry ? usable.m_entry->m_sequence : 0},
                  {"origin", origin}});
@@ -307,6 +316,29 @@
                  {"origin", origin}});
 }
 
+void publication_agent::apply_evacuation(const data_centre_evacuated& published, std::uint64_t revision,
+                                         std::string_view origin)
+{
+    const std::string& data_centre = published.m_data_centre;
+    std::string_view state = "taken_back";
+    if (published.m_is_evacuated)
+    {
+        m_evacuations.on_published(data_centre);
+        state = "evacuated";
+    }
+    else if (m_is_restoring && m_evacuations.on_lost(data_centre))
+    {
+        state = "lost_by_source";
+    }
+    else
+    {
+        m_evacuations.on_taken_back(data_centre);
+    }
+    m_directory.set_evacuated(m_evacuations.in_force());
+    m_log.write(log_level::info, "evacuation",
+                {{"data_centre", data_centre}, {"state", state}, {"revision", revision}, {"origin", origin}});
+}
+
 void publication_agent::apply(const published_item& item, std::string_view origin)
 {
     publication meaning = m_platform.decode(item);
@@ -324,20 +356,7 @@
                           { apply_removal(each, item.m_revision, origin); },
                           [this, &item, origin](const data_centre_evacuated& each)
                           {
-                              if (each.m_is_evacuated)
-                              {
-                                  m_evacuated.insert(each.m_data_centre);
-                              }
-                              else
-                              {
-                                  m_evacuated.erase(each.m_data_centre);
-                              }
-                              m_directory.set_evacuated(m_evacuated);
-                              m_log.write(log_level::info, "evacuation",
-                                          {{"data_centre", each.m_data_centre},
-                                           {"state", each.m_is_evacuated ? "evacuated" : "taken_back"},
-                                           {"revision", item.m_revision},
-                                           {"origin", origin}});
+                              apply_evacuation(each, item.m_revision, origin);
                           }},
                meaning);
 }
--- a/packages/runtime/src/publication_agent.hpp
+++ b/packages/runtime/src/publication_agent.hpp
@@ -2,8 +2,8 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 
+#include "evacuations.hpp"
 #include "teasellead/fleet/publication_follower.hpp"
 #include "teasellead/fleet/publication_log.hpp"
 #include "teasellead/forwarding/configuration_lease.hpp"
@@ -14,6 +14,16 @@
 namespace teasellead::runtime
 {
 
+/// numbers of what was passed over because something later is known
+struct outdated_counts
+{
+    std::uint64_t m_items{0};
+    std::uint64_t m_listings{0};
+    std::uint64_t m_entries{0}; ///< of upstreams
+
+    friend bool operator==(const outdated_counts&, const outdated_counts&) = default;
+};
+
 /*!
 @brief receives published items from the platform or from a peer, applies them, and relays them to peers
 */
@@ -78,6 +88,10 @@
     void apply_all(const std::vector<published_item>& items, std::string_view origin);
     void apply(const published_item& item, std::string_view origin);
     void apply_entry(const upstream_published& published, std::uint64_t revision, std::string_view origin);
+    void apply_evacuation(const data_centre_evacuated& published, std::uint64_t revision,
+                          std::string_view origin);
+    /// ends the time in which the source may lack what was published before its return from a backup
+    void end_restoration(time_point now);
     void apply_removal(const upstream_withdrawn& withdrawn, std::uint64_t revision, std::string_view origin);
     /// logs and counts what the copy of the items passed over
     void log_outdated(std::string_view origin);
@@ -95,16 +109,16 @@
     publication_log m_items;
     publication_follower m_follower;
     std::unique_ptr<publication_source> m_source;
-    std::set<std::string> m_evacuated;
+    evacuations m_evacuations;
+    time_point m_held_back_end{}; ///< until when restored entries are held back
+    bool m_is_restoring{false};   ///< whether the items being applied are the listing of a restored source
     /// until then, removed entries are kept, since they may only have expired while the source was
     /// unreachable
     time_point m_expiry_grace_end{};
     bool m_has_expired_entries{false}; ///< whether the directory keeps removed entries
     bool m_has_invalid_item{false};    ///< whether an item was invalid since the latest valid configuration
     bool m_reads_source{false};
-    std::uint64_t m_outdated_items{0};
-    std::uint64_t m_outdated_listings{0};
-    std::uint64_t m_outdated_entries{0};
+    outdated_counts m_outdated;
 };
 
 } // namespace teasellead::runtime
