Removed upstreams are kept only if the store was away for long enough, and never beyond the time to settle

Cause: an outage was counted from the last confirmation, which in a calm store is up to two watches old, so that each watch that was cut started the 2.2 s in which removed entries are kept. A node whose connections fell silent kept them until 5.0 s after that, though it must be up to date after contactMs (4 s); and a reader passed its time on to followers that had been current all the while, and by late replies beyond its end. Class: a time of doubt is extended by what doesn't raise the doubt.

Change: the reader of the store tells since when the store may have been unreachable (the sending of the call that got no answer; the end of a connection that was closed before its answer was due) and when the last failed call was sent. The time counts only after an outage of 1.5 report periods, and ends 200 ms before contactMs after the last failed call. A node that was current in the last 1.5 periods takes no such time from a peer, and counts it from its request.

What it costs: after an outage that just one call noticed (up to 2.8 s) entries are kept for some 1.0 to 1.3 s rather than 2.2 s; at most a third of the upstreams can have expired in it.

--- a/packages/fleet/include/teasellead/fleet/publication_follower.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_follower.hpp
@@ -74,8 +74,8 @@
 {
     std::vector<published_item> m_items;      ///< the changes, including removals
     std::optional<time_point> m_confirmed_at; ///< when the items were confirmed as current; empty if unknown
-    /// remaining time in which a missing entry may only have expired at the source and isn't taken as removed
-    duration m_expiry_grace{duration::zero()};
+    /// until then a missing entry may only have expired at the source and isn't taken as removed
+    time_point m_expiry_grace_end{};
 
     friend bool operator==(const peer_updates&, const peer_updates&) = default;
 };
@@ -117,6 +117,12 @@
     /// records up to when this node's items are complete
     void on_confirmation(const confirmation_times& times);
 
+    /// up to when this node's items were current
+    [[nodiscard]] time_point current_at() const noexcept
+    {
+        return m_confirmation.m_current_at;
+    }
+
     /// whether this node must read the source itself
     [[nodiscard]] bool reads_source(time_point now) const;
 
--- a/packages/fleet/src/publication_follower.cpp
+++ b/packages/fleet/src/publication_follower.cpp
@@ -314,7 +314,8 @@
         ++m_counts.m_from_older_epochs;
         return updates;
     }
-    updates.m_expiry_grace = reply.m_expiry_grace;
+    // counted from the sending of the request, as the ages below
+    updates.m_expiry_grace_end = requested_at + reply.m_expiry_grace;
     if (reply.m_as_of.has_items() && is_usable(reply, *answered))
     {
         updates.m_items = reply.m_is_full ? known.on_listing(reply.m_items, reply.m_unchanged, reply.m_as_of)
--- a/packages/runtime/include/teasellead/runtime/deployment.hpp
+++ b/packages/runtime/include/teasellead/runtime/deployment.hpp
@@ -37,6 +37,8 @@
         m_max_configuration_age{}; ///< time without a confirmed configuration after which keys are refused
     /// longest time from the publication of any item until this node must use it
     duration m_change_bound{std::chrono::seconds{3}};
+    /// time after trouble of this node's links in which it may use changes late
+    duration m_settling_time{std::chrono::seconds{4}};
     double m_link_bytes_per_second{125'000'000.0}; ///< rate of this node's link in one direction
     std::size_t m_memory_bytes{256 * 1024 * 1024}; ///< memory that the process may use
     std::size_t m_max_descriptors{4096};           ///< file descriptors that the process may have open
@@ -122,8 +124,20 @@
     virtual void on_changes(const std::vector<published_item>& items, const publication_position& as_of,
                             const confirmation_times& times) = 0;
 
-    /// called when the source becomes reachable or unreachable
-    virtual void on_source_status(bool is_reachable, const std::string& reason) = 0;
+    /*!
+    @brief called when the source becomes unreachable
+
+    @param[in] reason             what failed
+    @param[in] unreachable_since  the earliest time since which it may have been
+    */
+    virtual void on_source_lost(const std::string& reason, time_point unreachable_since) = 0;
+
+    /*!
+    @brief called when the source becomes reachable again
+
+    @param[in] last_failed_call  when the last call without a usable answer was sent
+    */
+    virtual void on_source_regained(time_point last_failed_call) = 0;
 };
 
 /// reads the items that the platform publishes, and the changes to them
--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -17,6 +17,8 @@
 
 // entries that expired while the source was unreachable are published again within this time of its return
 constexpr milliseconds expiry_grace{2200};
+// time of two ticks, one of which drops the entries
+constexpr milliseconds drop_allowance{200};
 
 // an evacuation that the source has lost stays in force for this time, in which the operator repeats it
 constexpr std::chrono::seconds lost_evacuation_time{60};
@@ -127,14 +129,17 @@
 void publication_agent::on_reply(const endpoint& sender, const publication_reply& reply)
 {
     const publication_position before = m_items.as_of();
+    // a node that was current a moment ago knows that the source wasn't away for long enough to expire
+    // entries
+    const bool may_have_expired = may_have_expired_entries(m_follower.current_at());
     const auto updates = m_follower.on_reply(sender, reply, m_items);
     if (!updates)
     {
         return;
     }
-    if (updates->m_expiry_grace > duration::zero())
+    if (may_have_expired)
     {
-        extend_expiry_grace(m_clock.now() + updates->m_expiry_grace);
+        extend_expiry_grace(updates->m_expiry_grace_end);
     }
     apply_changes(before, updates->m_items, "peer");
     // the follower itself has recorded the confirmation already
@@ -166,23 +171,34 @@
     }
 }
 
-void publication_agent::on_source_status(bool is_reachable, const std::string& reason)
+void publication_agent::on_source_lost(const std::string& reason, time_point unreachable_since)
 {
-    m_follower.on_source(is_reachable, m_clock.now());
-    if (is_reachable && may_have_expired_entries())
+    m_follower.on_source(false, m_clock.now());
+    m_unreachable_since = unreachable_since;
+    m_log.write(log_level::warning, "source_lost", {{"reason", reason}});
+}
+
+void publication_agent::on_source_regained(time_point last_failed_call)
+{
+    const time_point now = m_clock.now();
+    m_follower.on_source(true, now);
+    const bool may_have_expired = may_have_expired_entries(m_unreachable_since);
+    if (may_have_expired)
     {
-        extend_expiry_grace(m_clock.now() + expiry_grace);
+        // removed entries are dropped in time even if only the connection of this node had fallen silent
+        const time_point latest = last_failed_call + m_platform.settings().m_settling_time - drop_allowance;
+        extend_expiry_grace(std::min(now + expiry_grace, latest));
     }
-    m_log.write(is_reachable ? log_level::info : log_level::warning,
-                is_reachable ? "source_regained" : "source_lost", {{"reason", reason}});
+    m_log.write(log_level::info, "source_regained",
+                {{"reason", "answered"}, {"keeps_removed", std::uint64_t{may_have_expired ? 1U : 0U}}});
 }
 
-bool publication_agent::may_have_expired_entries() const
+bool publication_agent::may_have_expired_entries(time_point since) const
 {
     // an entry expires after three periods without a report, and the last one before an outage may be up to
     // one period old; half a period allows for irregular reports
     const duration shortest_outage = m_platform.settings().m_report_period * 3 / 2;
-    return m_configuration_lease.age(m_clock.now()) >= shortest_outage;
+    return m_clock.now() - since >= shortest_outage;
 }
 
 void publication_agent::confirm(const confirmation_times& times)
--- a/packages/runtime/src/publication_agent.hpp
+++ b/packages/runtime/src/publication_agent.hpp
@@ -78,7 +78,8 @@
                     const confirmation_times& times) override;
     void on_changes(const std::vector<published_item>& items, const publication_position& as_of,
                     const confirmation_times& times) override;
-    void on_source_status(bool is_reachable, const std::string& reason) override;
+    void on_source_lost(const std::string& reason, time_point unreachable_since) override;
+    void on_source_regained(time_point last_failed_call) override;
 
   private:
     void confirm(const confirmation_times& times);
@@ -95,8 +96,8 @@
     void apply_removal(const upstream_withdrawn& withdrawn, std::uint64_t revision, std::string_view origin);
     /// logs and counts what the copy of the items passed over
     void log_outdated(std::string_view origin);
-    /// whether entries may have expired because the source was unreachable until now
-    [[nodiscard]] bool may_have_expired_entries() const;
+    /// whether entries may have expired if the source was unreachable from a time until now
+    [[nodiscard]] bool may_have_expired_entries(time_point since) const;
     void extend_expiry_grace(time_point until);
     [[nodiscard]] bool is_in_expiry_grace() const;
 
@@ -115,6 +116,7 @@
     /// until then, removed entries are kept, since they may only have expired while the source was
     /// unreachable
     time_point m_expiry_grace_end{};
+    time_point m_unreachable_since{};  ///< the earliest time since which the source may be
     bool m_has_expired_entries{false}; ///< whether the directory keeps removed entries
     bool m_has_invalid_item{false};    ///< whether an item was invalid since the latest valid configuration
     bool m_reads_source{false};
--- a/tests/support/forwarding/simulated_source.hpp
+++ b/tests/support/forwarding/simulated_source.hpp
@@ -99,6 +99,7 @@
         ++m_call;
         ++m_calls;
         const time_point requested_at = m_queue.now();
+        m_requested_at = requested_at;
         later_here(answer_time, [this] { fail(); });
         later(one_way, [this, requested_at] { at_store(requested_at); });
     }
@@ -147,7 +148,7 @@
                        if (!m_is_reachable)
                        {
                            m_is_reachable = true;
-                           m_sink.on_source_status(true, "answered");
+                           m_sink.on_source_regained(m_last_failed_call);
                        }
                        deliver();
                        if (m_is_started)
@@ -160,10 +161,11 @@
     void fail()
     {
         ++m_call;
+        m_last_failed_call = m_requested_at;
         if (m_is_reachable)
         {
             m_is_reachable = false;
-            m_sink.on_source_status(false, "no answer");
+            m_sink.on_source_lost("no answer", m_requested_at);
         }
         later_here(retry_pause, [this] { ask(); });
     }
@@ -176,6 +178,8 @@
     std::uint64_t m_call{0}; ///< current call; actions scheduled for other calls are ignored
     std::uint64_t m_calls{0};
     publication_position m_known;
+    time_point m_requested_at{};     ///< when the current call was sent
+    time_point m_last_failed_call{}; ///< when the last call without an answer was sent
     bool m_is_started{false};
     bool m_is_reachable{true};
 };
--- a/tests/unit/fleet/unit-publication-epochs.cpp
+++ b/tests/unit/fleet/unit-publication-epochs.cpp
@@ -83,7 +83,7 @@
         m_log.on_listing({{"a", "1", 40}}, {2, 50});
         const auto updates = receive({{1, 100}, false, {{"a", "9", 99}}});
         CPPUNIT_ASSERT(updates && updates->m_items.empty() && !updates->m_confirmed_at);
-        CPPUNIT_ASSERT_EQUAL(duration::zero(), updates->m_expiry_grace);
+        CPPUNIT_ASSERT(updates->m_expiry_grace_end == time_point{});
         CPPUNIT_ASSERT((m_log.as_of() == publication_position{2, 50}));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_asking.counts().m_from_older_epochs);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_asking.counts().m_from_readers);
--- a/tests/unit/platform/unit-decode.cpp
+++ b/tests/unit/platform/unit-decode.cpp
@@ -296,6 +296,10 @@
         CPPUNIT_ASSERT((decode_store(valid_settings) ==
                         store_settings{endpoint::parse("10.200.1.7:8361"), 1200ms, 1000ms, 2300ms}));
         CPPUNIT_ASSERT((read.m_change_bound == 4s));
+        CPPUNIT_ASSERT((read.m_settling_time == 4s));
+        const std::string settling =
+            replaced(valid_settings, "\"configApplyMs\":4000", "\"configApplyMs\":4000,\"contactMs\":6000");
+        CPPUNIT_ASSERT((decode_settings(settling).m_settling_time == 6s));
         // leaving upstreams and evacuations reach a node in the same way as configurations
         for (const std::string bound : {"drainTimeoutMs", "evacuationMs"})
         {
--- a/tests/unit/store-reader/started_reader.hpp
+++ b/tests/unit/store-reader/started_reader.hpp
@@ -41,7 +41,14 @@
         m_changed.notify_all();
     }
 
-    void on_source_status(bool, const std::string&) override
+    void on_source_lost(const std::string&, time_point unreachable_since) override
+    {
+        const std::scoped_lock lock{m_mutex};
+        m_unreachable_since = unreachable_since;
+        m_changed.notify_all();
+    }
+
+    void on_source_regained(time_point) override
     {
     }
 
@@ -60,6 +67,14 @@
         return m_changed.wait_for(lock, enough, [&] { return m_listed_to == expected; });
     }
 
+    /// since when the source may be unreachable; empty if it isn't lost in time
+    std::optional<time_point> wait_for_loss()
+    {
+        std::unique_lock lock{m_mutex};
+        m_changed.wait_for(lock, enough, [this] { return m_unreachable_since.has_value(); });
+        return m_unreachable_since;
+    }
+
     /// keys of all changes so far
     std::set<std::string> changed_keys()
     {
@@ -97,6 +112,7 @@
     std::condition_variable m_changed;
     std::optional<std::vector<published_item>> m_listing;
     publication_position m_listed_to;
+    std::optional<time_point> m_unreachable_since;
     std::vector<published_item> m_changes;
 };
 
--- a/tests/unit/store-reader/unit-store-recovery.cpp
+++ b/tests/unit/store-reader/unit-store-recovery.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "scripted_server.hpp"
@@ -43,6 +44,8 @@
     CPPUNIT_TEST_SUITE(store_recovery_test);
     CPPUNIT_TEST(answers_of_another_epoch_lead_to_a_listing);
     CPPUNIT_TEST(store_that_went_back_is_listed_again);
+    CPPUNIT_TEST(cut_watch_tells_of_no_earlier_outage);
+    CPPUNIT_TEST(silent_watch_may_tell_of_an_earlier_outage);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -143,7 +146,33 @@
         }
     }
 
+    // guards against removed upstreams that are kept since a watch that was cut counts as an outage
+    void cut_watch_tells_of_no_earlier_outage()
+    {
+        auto store = std::make_unique<standin_store>(m_thread, store_address);
+        started_reader reader{store_address};
+        CPPUNIT_ASSERT(reader.sink().wait_for_listing(enough));
+        std::this_thread::sleep_for(100ms);
+        const time_point cut_at = m_clock.now();
+        store.reset();
+        const std::optional<time_point> since = reader.sink().wait_for_loss();
+        CPPUNIT_ASSERT(since && *since >= cut_at);
+    }
+
+    void silent_watch_may_tell_of_an_earlier_outage()
+    {
+        standin_store store{m_thread, store_address};
+        started_reader reader{store_address};
+        CPPUNIT_ASSERT(reader.sink().wait_for_listing(enough));
+        store.set_mode(store_mode::silent);
+        const time_point silent_at = m_clock.now();
+        const std::optional<time_point> since = reader.sink().wait_for_loss();
+        CPPUNIT_ASSERT(since && *since <= silent_at + 50ms);
+        CPPUNIT_ASSERT(m_clock.now() >= silent_at + 700ms);
+    }
+
   private:
+    system_monotonic_clock m_clock;
     runtime::loop_thread m_thread;
 };
 
