--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -57,14 +57,10 @@
 };
 
 /// events that show the state of a node: its configuration, its source of configurations and its peers
-constexpr std::array<std::string_view, 8> node_state_events{"started",
-                                                            "configuration",
-                                                            "configuration_fresh",
-                                                            "configuration_too_old",
-                                                            "source_lost",
-                                                            "source_regained",
-                                                            "nodes",
-                                                            "stopping"};
+constexpr std::array<std::string_view, 9> node_state_events{
+    "started",     "configuration",   "configuration_fresh", "configuration_too_old",
+    "source_lost", "source_regained", "source_restored",     "nodes",
+    "stopping"};
 
 std::string field_text(const json& line, const char* name)
 {
--- a/tests/soak/soak-platform.cpp
+++ b/tests/soak/soak-platform.cpp
@@ -148,6 +148,7 @@
         {
             set_behaviour(number, false, 0ms);
         }
+        m_backup = m_fleet.store().back_up();
         for (unsigned node = 1; node <= m_nodes; ++node)
         {
             m_fleet.launch_node(node);
@@ -288,7 +289,11 @@
 
     void inject()
     {
-        constexpr std::uint64_t kinds = 11;
+        constexpr std::uint64_t kinds = 12;
+        if (m_random.below(3) == 0)
+        {
+            m_backup = m_fleet.store().back_up();
+        }
         const unsigned node = 1 + static_cast<unsigned>(m_random.below(m_nodes));
         const auto began = steady::now();
         switch (m_random.below(kinds))
@@ -340,6 +345,9 @@
             set_behaviour(pausing_upstream, false, pause);
             return;
         }
+        case 9:
+            go_back();
+            return;
         default:
         {
             const std::size_t link = m_random.below(m_proxies.size());
@@ -351,6 +359,27 @@
         }
     }
 
+    /// the store is away for a moment and comes back from a backup; all that was lost is written again
+    void go_back()
+    {
+        const std::chrono::milliseconds away{200 + m_random.below(1500)};
+        note("store goes back, away for " + std::to_string(away.count()) + " ms");
+        m_fleet.store().set_mode(store_mode::silent);
+        std::this_thread::sleep_for(away);
+        m_fleet.store().restore(m_backup);
+        m_fleet.store().set_mode(store_mode::up);
+        const bool is_withdrawn = m_withdrawn_at.load() != steady::time_point{};
+        m_fleet.publish(is_withdrawn ? 2 : 1, is_withdrawn ? std::vector<std::string>{"key-1"}
+                                                           : std::vector<std::string>{"key-1", "key-2"});
+        for (std::size_t number = 0; number < m_listens.size(); ++number)
+        {
+            const bool is_drained = number == drained_upstream && m_drained_at != steady::time_point{};
+            const standin_upstream& each = *m_fleet.upstreams()[number];
+            m_fleet.store().put("servers/" + each.instance(), each.entry(is_drained ? "draining" : "ready",
+                                                                         ++m_sequence, m_listens[number]));
+        }
+    }
+
     void restart(unsigned node)
     {
         m_fleet.node(node).wait();
@@ -498,6 +527,7 @@
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
     std::map<std::size_t, std::vector<disturbance>> m_one_way_times; ///< by number of the link's upstream
     std::vector<std::string> m_listens;
+    standin_store::backup m_backup;
     promise_checker m_checker;
     std::atomic<bool> m_is_over{false};
     std::atomic<steady::time_point> m_withdrawn_at{steady::time_point{}};
