--- a/packages/runtime/src/publication_agent.cpp
+++ b/packages/runtime/src/publication_agent.cpp
@@ -182,7 +182,9 @@
 {
     const time_point now = m_clock.now();
     m_follower.on_source(true, now);
-    const bool may_have_expired = may_have_expired_entries(m_unreachable_since);
+    // peers may have kept this node current meanwhile
+    const bool may_have_expired =
+        may_have_expired_entries(std::max(m_unreachable_since, m_follower.current_at()));
     if (may_have_expired)
     {
         // removed entries are dropped in time even if only the connection of this node had fallen silent
--- a/tests/unit/runtime/unit-publication-agent.cpp
+++ b/tests/unit/runtime/unit-publication-agent.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(removed_entry_is_dropped_although_a_watch_was_cut);
     CPPUNIT_TEST(removed_entry_is_dropped_soon_after_a_silent_watch);
     CPPUNIT_TEST(current_node_does_not_keep_what_a_peer_keeps);
+    CPPUNIT_TEST(removed_entry_is_dropped_if_peers_kept_the_node_current);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -128,6 +129,26 @@
         }
     }
 
+    // guards against removed upstreams that stay in use since a node was cut off alone
+    void removed_entry_is_dropped_if_peers_kept_the_node_current()
+    {
+        m_agent->on_members({peer}, {});
+        m_agent->on_source_lost("no answer", m_clock.now());
+        m_clock.advance(5s);
+        const std::vector<outgoing_message> sent = m_agent->on_tick();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent.size());
+        publication_reply reply;
+        reply.m_call = std::get<publication_request>(sent.front().m_content).m_call;
+        reply.m_as_of = at(m_revision);
+        reply.m_confirmation_age = 100ms;
+        reply.m_staleness = 100ms;
+        m_agent->on_reply(peer, reply);
+        m_clock.advance(500ms);
+        m_agent->on_source_regained(m_clock.now() - 300ms);
+        remove();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_directory.size());
+    }
+
   private:
     static constexpr endpoint peer{2, 7000};
 
