--- a/packages/fleet/include/teasellead/fleet/messages.hpp
+++ b/packages/fleet/include/teasellead/fleet/messages.hpp
@@ -283,8 +283,8 @@
 struct publication_reply
 {
     std::uint64_t m_call{0};
-    publication_position
-        m_as_of; ///< up to which the sender has every change; without items before its first listing
+    /// up to which the sender has every change; without items before its first listing
+    publication_position m_as_of;
     /// whether the reply lists every published item, with its value or as unchanged, not only the changes
     bool m_is_full{false};
     std::vector<published_item> m_items;
--- a/packages/fleet/include/teasellead/fleet/publication_log.hpp
+++ b/packages/fleet/include/teasellead/fleet/publication_log.hpp
@@ -48,7 +48,6 @@
 @brief this node's copy of the items that a deployment publishes, with a history of recent changes
 
 All items and the history belong to the epoch of @ref as_of.
-
 Not safe for use by several threads.
 */
 class publication_log
@@ -128,6 +127,7 @@
                         std::vector<published_item>& changes);
     /// appends a change to the history
     void record(std::uint64_t revision, const std::string& key);
+    /// lists all items; those that the requesting node has in their current revision only by their keys
     [[nodiscard]] publication_delta all_items(const publication_position& have) const;
     /// records an item if it differs from the later one that is known
     void note_outdated(const published_item& item, const published_item& known);
