Requests tell of their hedges and of the node's own delay

Change: `hedges` and `hand_over_ms` in the line of a request, teasellead_hedges_total and teasellead_hand_over_microseconds_total; docs/OPERATIONS.md. No decision changes.

--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -74,6 +74,9 @@
     /// starts the request and returns its first attempts
     [[nodiscard]] std::vector<dispatch_action> start(time_point now);
 
+    /// notes that an attempt was handed to the network, which may be some time after it was planned
+    void on_handed_over(attempt_number attempt, time_point now);
+
     /// applies what the upstream of an attempt has announced; called before its reply or failure
     void on_notice(attempt_number attempt, const upstream_notice& notice, time_point now);
 
@@ -131,6 +134,18 @@
         return m_attempts.size();
     }
 
+    /// number of these that are hedges
+    [[nodiscard]] std::size_t hedges() const noexcept
+    {
+        return m_hedges;
+    }
+
+    /// longest time from the plan of an attempt until it was handed to the network
+    [[nodiscard]] duration longest_hand_over() const noexcept
+    {
+        return m_longest_hand_over;
+    }
+
   private:
     enum class sub_request_state
     {
@@ -242,6 +257,8 @@
     attempt_denied m_denied;        ///< the latest denial by the crash guard
     std::vector<sub_request> m_sub_requests;
     std::vector<attempt_state> m_attempts;
+    std::size_t m_hedges{0};
+    duration m_longest_hand_over{duration::zero()};
     std::optional<dispatch_result> m_result;
 };
 
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -113,6 +113,9 @@
                                         target.m_place ? &*target.m_place : nullptr, now);
     target.m_place.reset();
     target.m_tried.push_back(selected);
+    const bool is_hedge = target.m_in_flight > 0;
+    m_hedges += is_hedge ? 1 : 0;
+    m_context->m_statistics.m_hedges += is_hedge ? 1 : 0;
     ++target.m_sent;
     ++target.m_in_flight;
     target.m_next_check = is_trial ? time_point::max() : now + hedge_delay(choice);
@@ -122,6 +125,13 @@
     result.emplace_back(send_attempt{m_attempts.size() - 1, selected});
 }
 
+void dispatch::on_handed_over(attempt_number attempt, time_point now)
+{
+    const duration delay = now - m_attempts.at(attempt).m_began;
+    m_longest_hand_over = std::max(m_longest_hand_over, delay);
+    m_context->m_statistics.m_hand_over_delay += delay;
+}
+
 void dispatch::on_notice(attempt_number attempt, const upstream_notice& notice, time_point now)
 {
     m_context->m_directory.on_notice(*m_attempts.at(attempt).m_upstream, notice, now);
--- a/packages/runtime/include/teasellead/runtime/request_log.hpp
+++ b/packages/runtime/include/teasellead/runtime/request_log.hpp
@@ -33,6 +33,9 @@
     duration m_latency{duration::zero()};    ///< time since the request was received completely
     duration m_limit_wait{duration::zero()}; ///< portion of the latency spent waiting for the account's limit
     std::size_t m_attempts{0};
+    std::size_t m_hedges{0}; ///< attempts beside another one at the same service
+    duration m_longest_hand_over{
+        duration::zero()};                    ///< longest time from the plan of an attempt to the network
     std::size_t m_missing{0};                 ///< number of shards without a reply
     std::string_view m_missing_shards;        ///< those shards, each with the reason
     std::uint64_t m_version{0};               ///< version of the configuration that was applied
--- a/packages/runtime/src/dispatch_exposition.cpp
+++ b/packages/runtime/src/dispatch_exposition.cpp
@@ -26,6 +26,11 @@
                             context.m_capacity_queue.displaced())
          << exposition_line("teasellead_waiting_hopeless_total", "counter", counts.m_refused_by_forecast)
          << exposition_line("teasellead_extra_attempts_reserved_total", "counter", counts.m_denied_by_reserve)
+         << exposition_line("teasellead_hedges_total", "counter", counts.m_hedges)
+         << exposition_line(
+                "teasellead_hand_over_microseconds_total", "counter",
+                static_cast<std::uint64_t>(
+                    std::chrono::duration_cast<std::chrono::microseconds>(counts.m_hand_over_delay).count()))
          << exposition_line("teasellead_unlikely_searches_refused_total", "counter",
                             context.m_outlook.refused())
          << exposition_line("teasellead_unlikely_searches_probed_total", "counter",
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -92,6 +92,8 @@
     entry.m_latency = now - arrived;
     entry.m_limit_wait = m_started_at - arrived;
     entry.m_attempts = m_dispatch.attempts();
+    entry.m_hedges = m_dispatch.hedges();
+    entry.m_longest_hand_over = m_dispatch.longest_hand_over();
     if (result != nullptr)
     {
         entry.m_missing = result->m_missing;
@@ -165,6 +167,7 @@
     const auto connection = m_environment.m_pool.acquire(action.m_upstream);
     m_running.emplace(action.m_attempt, connection);
     connection->start(std::move(next));
+    m_dispatch.on_handed_over(action.m_attempt, m_environment.m_clock.now());
 }
 
 void request_driver::release(forwarding::attempt_number attempt)
--- a/packages/runtime/src/request_log.cpp
+++ b/packages/runtime/src/request_log.cpp
@@ -97,6 +97,8 @@
                  {"latency_ms", latency_ms},
                  {"limit_wait_ms", milliseconds_of(entry.m_limit_wait)},
                  {"attempts", std::uint64_t{entry.m_attempts}},
+                 {"hedges", std::uint64_t{entry.m_hedges}},
+                 {"hand_over_ms", milliseconds_of(entry.m_longest_hand_over)},
                  {"missing", std::uint64_t{entry.m_missing}},
                  {"missing_shards", entry.m_missing_shards},
                  {"version", entry.m_version},
--- a/tests/unit/runtime/unit-dispatch-exposition.cpp
+++ b/tests/unit/runtime/unit-dispatch-exposition.cpp
@@ -29,11 +29,14 @@
         dispatch waiting = fixture.single(repeatability::idempotent, 2, 3);
         CPPUNIT_ASSERT(waiting.start(dispatch_start).empty());
         fixture.m_context.m_statistics.m_denied_by_reserve = 5;
+        fixture.m_context.m_statistics.m_hedges = 7;
+        fixture.m_context.m_statistics.m_hand_over_delay = 3ms;
         const std::string text = runtime::dispatch_exposition(fixture.m_context);
         for (const std::string line :
              {"teasellead_waiting_attempts{priority=\"3\"} 1\n",
               "teasellead_refusals_total{reason=\"overloaded\",priority=\"1\"} 1\n",
-              "teasellead_extra_attempts_reserved_total 5\n", "teasellead_waiting_hopeless_total 0\n"})
+              "teasellead_extra_attempts_reserved_total 5\n", "teasellead_waiting_hopeless_total 0\n",
+              "teasellead_hedges_total 7\n", "teasellead_hand_over_microseconds_total 3000\n"})
         {
             CPPUNIT_ASSERT_MESSAGE(line, text.find(line) != std::string::npos);
         }
