The time of an attempt begins when it is handed to the network

Cause: the time of an attempt, for its hedge and for what is learned of its upstream, began when the search was planned. The node sends the parts one after another and connects for half of them first; with 0.12 of a core that takes 8 to 28 ms, longer than most hedge delays. So the node hedged its own delay, and counted it as its upstreams' time. Change: dispatch::on_handed_over, called by the connection when it is begun and when the bytes are sent; the hedge is put off and the time at the upstream begins anew. Conclusion: the main cause; replies that have arrived but aren't read yet are still hedged.

--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -74,7 +74,12 @@
     /// starts the request and returns its first attempts
     [[nodiscard]] std::vector<dispatch_action> start(time_point now);
 
-    /// notes that an attempt was handed to the network, which may be some time after it was planned
+    /*!
+    @brief starts the time of an attempt again, since the node has just begun its connection or sent its bytes
+
+    The node's own delay before doesn't count as the upstream's time: neither in what is learned of it nor for
+    hedges.
+    */
     void on_handed_over(attempt_number attempt, time_point now);
 
     /// applies what the upstream of an attempt has announced; called before its reply or failure
@@ -173,7 +178,8 @@
     {
         std::size_t m_sub_request{0};
         shared_upstream m_upstream;
-        time_point m_began;
+        time_point m_planned;
+        time_point m_began; ///< when it was handed over; until then, when it was planned
         work_estimate m_work;
         completion_estimate m_expected;
         bool m_is_trial{false};
--- a/packages/forwarding/include/teasellead/forwarding/upstream.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream.hpp
@@ -178,6 +178,9 @@
     /// records the failure of the attempt that started at `began`, and ejects the upstream if due
     void on_failure(time_point began, attempt_failure failure, time_point now);
 
+    /// notes that the attempt that started at `began` was handed to the network only now
+    void on_delayed(time_point began, time_point now) noexcept;
+
     /// removes the attempt that started at `began`; its cancellation doesn't count as a failure
     void on_cancelled(time_point began);
 
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -119,7 +119,7 @@
     ++target.m_sent;
     ++target.m_in_flight;
     target.m_next_check = is_trial ? time_point::max() : now + hedge_delay(choice);
-    m_attempts.push_back({index, selected, now, choice.m_work, choice.m_expected, is_trial});
+    m_attempts.push_back({index, selected, now, now, choice.m_work, choice.m_expected, is_trial});
     selected->on_start(now, expected_attempt_of(choice.m_expected, choice.m_work));
     m_context->m_cold_starts.on_send(*selected, now);
     result.emplace_back(send_attempt{m_attempts.size() - 1, selected});
@@ -127,9 +127,22 @@
 
 void dispatch::on_handed_over(attempt_number attempt, time_point now)
 {
-    const duration delay = now - m_attempts.at(attempt).m_began;
-    m_longest_hand_over = std::max(m_longest_hand_over, delay);
+    attempt_state& sent = m_attempts.at(attempt);
+    if (!sent.m_is_active)
+    {
+        return;
+    }
+    const duration delay = now - sent.m_began;
+    m_longest_hand_over = std::max(m_longest_hand_over, now - sent.m_planned);
     m_context->m_statistics.m_hand_over_delay += delay;
+    sent.m_upstream->on_delayed(sent.m_began, now);
+    sent.m_began = now;
+    sub_request& target = m_sub_requests[sent.m_sub_request];
+    const bool awaits_hedge = !sent.m_is_trial && !target.m_is_hedged && target.m_in_flight == 1;
+    if (awaits_hedge && target.m_next_check != time_point::max())
+    {
+        target.m_next_check += delay;
+    }
 }
 
 void dispatch::on_notice(attempt_number attempt, const upstream_notice& notice, time_point now)
--- a/packages/forwarding/src/upstream.cpp
+++ b/packages/forwarding/src/upstream.cpp
@@ -122,6 +122,16 @@
     }
 }
 
+void upstream::on_delayed(time_point began, time_point now) noexcept
+{
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(),
+                                    [began](const attempt_in_flight& each) { return each.m_began == began; });
+    if (found != m_attempts.end())
+    {
+        found->m_began = now;
+    }
+}
+
 void upstream::on_cancelled(time_point began)
 {
     remove_in_flight(began);
--- a/packages/runtime/include/teasellead/runtime/client_connection.hpp
+++ b/packages/runtime/include/teasellead/runtime/client_connection.hpp
@@ -61,6 +61,8 @@
     std::uint64_t m_max_body{default_max_response_body}; ///< in bytes; a larger response is malformed
     /// called just before the request is sent and may prevent it; if empty, the request is always sent
     std::function<bool()> m_may_send;
+    /// called when a connection for the request is begun, and when the request is sent; may be empty
+    std::function<void()> m_on_handed_over;
     /// whether a response belongs to this request; if empty, every response does
     std::function<response_match(const http_response&)> m_match;
     /// called once with the outcome, but not after @ref client_connection::close
@@ -152,6 +154,7 @@
     using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     void connect();
+    void note_hand_over() const;
     void on_connected(const boost::system::error_code& error);
     void send();
     void on_sent(const boost::system::error_code& error);
--- a/packages/runtime/src/client_connection.cpp
+++ b/packages/runtime/src/client_connection.cpp
@@ -100,6 +100,15 @@
     m_socket.async_connect(to_tcp(m_address),
                            [self = shared_from_this()](const boost::system::error_code& error)
                            { self->on_connected(error); });
+    note_hand_over();
+}
+
+void client_connection::note_hand_over() const
+{
+    if (m_exchange->m_on_handed_over)
+    {
+        m_exchange->m_on_handed_over();
+    }
 }
 
 void client_connection::on_connected(const boost::system::error_code& error)
@@ -136,6 +145,7 @@
     asio::async_write(m_socket, asio::buffer(m_exchange->m_bytes),
                       [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
                       { self->on_sent(error); });
+    note_hand_over();
     read();
 }
 
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -156,6 +156,10 @@
     {
         return self->may_send();
     };
+    next.m_on_handed_over = [self = shared_from_this(), attempt = action.m_attempt]
+    {
+        self->m_dispatch.on_handed_over(attempt, self->m_environment.m_clock.now());
+    };
     next.m_match = [self = shared_from_this()](const http_response& response)
     {
         return self->m_environment.m_protocol.match(response, self->m_request.m_metadata.m_request_id);
@@ -167,7 +171,6 @@
     const auto connection = m_environment.m_pool.acquire(action.m_upstream);
     m_running.emplace(action.m_attempt, connection);
     connection->start(std::move(next));
-    m_dispatch.on_handed_over(action.m_attempt, m_environment.m_clock.now());
 }
 
 void request_driver::release(forwarding::attempt_number attempt)
