A hedge waits until the input that has arrived is read

Cause: the timer of a search hedged each attempt that was late by the current time. A node that is behind has read only the input that had arrived when its loop last looked; the replies since then lie unread, and were hedged. Change: dispatch::on_timer gets the time up to which input has been read, which is the expiry of its timer: the loop looks for input before it runs a timer. Attempts that became late since then are looked at in the next turn. Five silent upstreams are still hedged, by fast and by slow nodes.

--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -97,8 +97,22 @@
     /// attempt lasted much longer than expected
     void on_abandoned(attempt_number attempt, time_point now);
 
-    /// makes the hedges and delayed attempts that are due, and ends the request at its deadline
-    [[nodiscard]] std::vector<dispatch_action> on_timer(time_point now);
+    /*!
+    @brief makes the hedges and delayed attempts that are due, and ends the request at its deadline
+
+    @param[in] now         current time
+    @param[in] input_read  time up to which all input that had arrived has been handled; an attempt is hedged
+    only if it was late by then, since its reply may be among the rest
+
+    @return the actions to execute
+    */
+    [[nodiscard]] std::vector<dispatch_action> on_timer(time_point now, time_point input_read);
+
+    /// the same for a caller that handles its input without delay
+    [[nodiscard]] std::vector<dispatch_action> on_timer(time_point now)
+    {
+        return on_timer(now, now);
+    }
 
     /// ends the request before its deadline, with what its upstreams have replied so far
     [[nodiscard]] std::vector<dispatch_action> end_early(failure_reason reason, time_point now);
@@ -224,7 +238,6 @@
     void report_to_crash_guard(const attempt_state& failed, attempt_failure failure, time_point now);
     void record_failure(attempt_state& failed, attempt_failure failure, time_point now);
     void on_no_upstream(sub_request& target, const std::string& service, no_upstream reason, time_point now);
-    void check(std::size_t index, time_point now, actions& result);
     void retry_or_end(std::size_t index, failure_reason reason, time_point now, actions& result);
     void end_sub_request(sub_request& target, sub_request_state state, failure_reason reason);
     void end_pending(failure_reason reason);
@@ -232,6 +245,7 @@
     [[nodiscard]] std::optional<failure_reason> reason_not_to_search(time_point now) const;
     [[nodiscard]] double chance_of_shard(std::size_t index, time_point now) const;
     [[nodiscard]] scatter_progress progress() const;
+    void check(std::size_t index, time_point now, time_point input_read, actions& result);
     void conclude(time_point now, actions& result);
     void conclude_single(time_point now, actions& result);
     void conclude_scatter(time_point now, actions& result);
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -270,7 +270,7 @@
     }
 }
 
-std::vector<dispatch_action> dispatch::on_timer(time_point now)
+std::vector<dispatch_action> dispatch::on_timer(time_point now, time_point input_read)
 {
     actions result;
     m_checked_at = now;
@@ -284,16 +284,17 @@
     }
     for (std::size_t i = 0; i < m_sub_requests.size(); ++i)
     {
-        check(i, now, result);
+        check(i, now, input_read, result);
     }
     conclude(now, result);
     return result;
 }
 
-void dispatch::check(std::size_t index, time_point now, actions& result)
+void dispatch::check(std::size_t index, time_point now, time_point input_read, actions& result)
 {
     sub_request& target = m_sub_requests[index];
-    if (target.m_state != sub_request_state::pending || now < target.m_next_check)
+    const time_point reached = target.m_is_waiting ? now : input_read;
+    if (target.m_state != sub_request_state::pending || reached < target.m_next_check)
     {
         return;
     }
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -272,7 +272,8 @@
     {
         return;
     }
-    m_timer.expires_after(std::max(duration::zero(), wakeup - now));
+    m_wakeup = std::max(wakeup, now);
+    m_timer.expires_after(m_wakeup - now);
     m_timer.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error)
         {
@@ -312,7 +313,8 @@
         arm();
         return;
     }
-    execute(m_dispatch.on_timer(now));
+    // the loop looks for input before it runs a timer that has expired
+    execute(m_dispatch.on_timer(now, m_wakeup));
 }
 
 void request_driver::respond_if_finished()
--- a/tests/support/slow_node.hpp
+++ b/tests/support/slow_node.hpp
@@ -138,7 +138,7 @@
         }
         if (is_timer_due && !request.is_finished())
         {
-            execute(request, request.on_timer(m_now));
+            execute(request, request.on_timer(m_now, looked_at));
         }
     }
 
