A partial answer leaves out only replies that haven't arrived

Cause: from 16 ms before the objective on, a search ended with the first reply that reached its coverage, in the middle of the replies that its loop had found: what a node that is behind hadn't read yet was left out, though it had arrived. Change: a search ends without its slow shards only when all input that had arrived has been handled. Evidence: unit-own-delay, partial_answer_leaves_out_only_what_has_not_arrived: 115 of 135 replies in the answer before, 135 after, when reading a reply takes 0.4 ms; red before, green after.

--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -246,9 +246,11 @@
     [[nodiscard]] double chance_of_shard(std::size_t index, time_point now) const;
     [[nodiscard]] scatter_progress progress() const;
     void check(std::size_t index, time_point now, time_point input_read, actions& result);
-    void conclude(time_point now, actions& result);
+    /// ends the request if it can end; a search without its slow shards only when all input that had arrived
+    /// by then has been handled
+    void conclude(time_point now, time_point input_read, actions& result);
     void conclude_single(time_point now, actions& result);
-    void conclude_scatter(time_point now, actions& result);
+    void conclude_scatter(time_point now, time_point input_read, actions& result);
     [[nodiscard]] gathered gather_replies(const scatter_progress& current);
     void finish(dispatch_result outcome, actions& result);
     [[nodiscard]] verdict current_verdict() const noexcept;
@@ -267,7 +269,7 @@
     request_profile m_profile;
     dispatch_context* m_context;
     time_point m_partial_from;      ///< time from which a scatter ends as soon as its coverage is sufficient
-    time_point m_checked_at{};      ///< time of the last call of @ref on_timer
+    time_point m_input_read{};      ///< at the last call of @ref on_timer
     time_point m_capacity_wait_end; ///< until then, attempts may wait for capacity
     trial_id m_trial_id{0};         ///< 0 until a trial is needed
     std::string m_trial_service;    ///< service at which the trial is made
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -52,7 +52,7 @@
     {
         try_send(m_sub_requests[i], i, now, result);
     }
-    conclude(now, result);
+    conclude(now, time_point::min(), result);
     return result;
 }
 
@@ -192,7 +192,7 @@
     {
         retry_or_end(answered.m_sub_request, failure_reason::upstreams_failed, now, result);
     }
-    conclude(now, result);
+    conclude(now, time_point::min(), result);
     return result;
 }
 
@@ -220,7 +220,7 @@
         return result;
     }
     retry_or_end(failed.m_sub_request, failure_reason::upstreams_failed, now, result);
-    conclude(now, result);
+    conclude(now, time_point::min(), result);
     return result;
 }
 
@@ -273,7 +273,7 @@
 std::vector<dispatch_action> dispatch::on_timer(time_point now, time_point input_read)
 {
     actions result;
-    m_checked_at = now;
+    m_input_read = input_read;
     if (m_result)
     {
         return result;
@@ -286,7 +286,7 @@
     {
         check(i, now, input_read, result);
     }
-    conclude(now, result);
+    conclude(now, input_read, result);
     return result;
 }
 
@@ -318,7 +318,7 @@
     if (!m_result)
     {
         end_pending(reason);
-        conclude(now, result);
+        conclude(now, time_point::min(), result);
     }
     return result;
 }
@@ -338,7 +338,9 @@
 time_point dispatch::next_wakeup() const
 {
     time_point result = m_request.m_response_deadline;
-    if (m_request.m_scatter && m_checked_at < m_partial_from)
+    const bool is_partial_possible =
+        m_request.m_scatter && (m_input_read < m_partial_from || progress().is_covered());
+    if (is_partial_possible)
     {
         result = std::min(result, m_partial_from);
     }
--- a/packages/forwarding/src/dispatch_result.cpp
+++ b/packages/forwarding/src/dispatch_result.cpp
@@ -45,7 +45,7 @@
     return "unknown";
 }
 
-void dispatch::conclude(time_point now, actions& result)
+void dispatch::conclude(time_point now, time_point input_read, actions& result)
 {
     if (m_result)
     {
@@ -53,7 +53,7 @@
     }
     if (m_request.m_scatter)
     {
-        conclude_scatter(now, result);
+        conclude_scatter(now, input_read, result);
     }
     else
     {
--- a/packages/forwarding/src/dispatch_search.cpp
+++ b/packages/forwarding/src/dispatch_search.cpp
@@ -66,10 +66,10 @@
             m_request.m_scatter ? m_request.m_scatter->m_min_coverage : 1.0};
 }
 
-void dispatch::conclude_scatter(time_point now, actions& result)
+void dispatch::conclude_scatter(time_point now, time_point input_read, actions& result)
 {
     const scatter_progress current = progress();
-    const bool is_done = current.m_pending == 0 || now >= m_partial_from;
+    const bool is_done = current.m_pending == 0 || input_read >= m_partial_from;
     if (current.is_covered() && is_done)
     {
         finish(gather_replies(current), result);
--- a/tests/support/slow_node.hpp
+++ b/tests/support/slow_node.hpp
@@ -36,14 +36,15 @@
 class slow_node
 {
   public:
-    explicit slow_node(std::vector<std::string> shards)
-        : m_shards(std::move(shards)), m_fixture(m_shards), m_now(dispatch_start)
+    explicit slow_node(std::vector<std::string> shards, int replicas = 2)
+        : m_shards(std::move(shards)), m_fixture(m_shards, replicas), m_now(dispatch_start)
     {
     }
 
     /// searches over all shards; the first upstream of some of them never replies
-    search_outcome search(const node_costs& costs, std::size_t silent)
+    search_outcome search(const node_costs& costs, std::size_t silent, double min_coverage = 1.0)
     {
+        m_min_coverage = min_coverage;
         m_now += 5s;
         m_costs = costs;
         m_silent = silent;
@@ -84,7 +85,7 @@
         request.m_fingerprint = "f00d";
         request.m_repeatability = forwarding::repeatability::idempotent;
         request.m_services = m_shards;
-        request.m_scatter = forwarding::scatter{m_shards, 10, 1.0};
+        request.m_scatter = forwarding::scatter{m_shards, 10, m_min_coverage};
         request.m_max_attempts = 2;
         request.m_objective = 60ms;
         request.m_arrived = m_now;
@@ -160,6 +161,7 @@
     time_point m_now;
     node_costs m_costs;
     std::size_t m_silent{0};
+    double m_min_coverage{1.0};
     std::priority_queue<input, std::vector<input>, std::greater<>> m_input;
 };
 
--- a/tests/unit/own-delay/unit-own-delay.cpp
+++ b/tests/unit/own-delay/unit-own-delay.cpp
@@ -26,6 +26,7 @@
 {
     CPPUNIT_TEST_SUITE(own_delay_test);
     CPPUNIT_TEST(node_does_not_hedge_its_own_delay);
+    CPPUNIT_TEST(partial_answer_leaves_out_only_what_has_not_arrived);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -66,6 +67,29 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::string{}, failed);
     }
+
+    /// guards against partial answers that leave out replies which lie unread at a slow node
+    void partial_answer_leaves_out_only_what_has_not_arrived()
+    {
+        struct row
+        {
+            std::string m_name;
+            node_costs m_costs;
+            std::size_t m_silent;
+        };
+        const std::vector<row> rows{
+            {"fast node", {1us, 1us, 0}, 0},
+            {"slow to read", {1us, 400us, 0}, 0},
+            {"slow to read, silent upstreams", {1us, 400us, 0}, 5},
+        };
+        constexpr std::size_t shards = 135;
+        for (const row& each : rows)
+        {
+            slow_node node{shards_of(shards), 1};
+            const search_outcome outcome = node.search(each.m_costs, each.m_silent, 0.85);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_name, shards - each.m_silent, outcome.m_replies);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(own_delay_test);
