--- a/tests/support/platform_fleet.hpp
+++ b/tests/support/platform_fleet.hpp
@@ -23,7 +23,7 @@
     @brief starts a store that publishes a configuration of shards and a service for single requests
 
     @param[in] net       second byte of all addresses, unique among tests that run at the same time
-    @param[in] shards    number of shards, at most 64
+    @param[in] shards    number of shards
     @param[in] launcher  program with arguments that runs the nodes; empty to run them directly
     */
     explicit platform_fleet(unsigned net, unsigned shards = 3, std::vector<std::string> launcher = {});
