Shares of connections are divided anew only for the service that changed

Cause: a node keeps its shares of each service's connections, but dropped all of them when any upstream of any service came, left or went. The next search divided the connections of 90 or 135 services among all nodes again before it sent anything. Besides, the share of a candidate was looked up by two names and a scan, twice for each choice and twice before a search. Change: the directory counts changes by service; shares of other services are kept. A limit that follows from a share is found by the upstream itself. An evacuation that is already in force is no change. Conclusion: the cost of a change is that of its service.

--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -194,6 +194,9 @@
         return m_version;
     }
 
+    /// the same for the upstreams of one service; never 0
+    [[nodiscard]] std::uint64_t version_of(const std::string& service) const;
+
     /*!
     @brief the lowest expected completion time of a request among the upstreams that may get it now
 
@@ -237,6 +240,9 @@
         m_has_connection = std::move(has_connection);
     }
 
+    /// whether an upstream may get attempts and is neither ejected nor paused
+    [[nodiscard]] bool is_candidate(const upstream& each, time_point now) const;
+
     /// whether at least one upstream of a service may get attempts and is neither ejected nor paused
     [[nodiscard]] bool has_candidates(const std::string& service, time_point now) const;
 
@@ -273,8 +279,6 @@
         time_point m_paused_until{};
     };
 
-    /// whether an upstream may get attempts and is neither ejected nor paused
-    [[nodiscard]] bool is_candidate(const upstream& each, time_point now) const;
     [[nodiscard]] candidate_state state_of(const upstream& candidate, const capacity_check& has_capacity,
                                            time_point now) const;
     /// whether this node has a share in an upstream's connections
@@ -291,7 +295,12 @@
     /// stores which instance uses an address; if an older instance used it and wasn't leaving, it has ended
     void record_address(const upstream_entry& entry);
 
-    std::uint64_t m_version{0};
+    /// counts a change of a service's upstreams
+    void count_change(const std::string& service);
+
+    std::uint64_t m_version{1};
+    std::uint64_t m_common_version{1}; ///< version of the latest change that concerns all services
+    std::unordered_map<std::string, std::uint64_t> m_service_versions;
     network_distance m_distances;
     connection_check m_has_connection;
     std::function<bool(const upstream&)> m_has_share;
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -123,8 +123,23 @@
 
 void upstream_directory::set_evacuated(std::set<std::string> data_centres)
 {
+    if (data_centres == m_evacuated)
+    {
+        return;
+    }
     m_evacuated = std::move(data_centres);
-    ++m_version;
+    m_common_version = ++m_version;
+}
+
+std::uint64_t upstream_directory::version_of(const std::string& service) const
+{
+    const auto known = m_service_versions.find(service);
+    return known == m_service_versions.end() ? m_common_version : std::max(m_common_version, known->second);
+}
+
+void upstream_directory::count_change(const std::string& service)
+{
+    m_service_versions[service] = ++m_version;
 }
 
 std::span<const shared_upstream> upstream_directory::upstreams_of(const std::string& service) const
--- a/packages/forwarding/src/upstream_directory_entries.cpp
+++ b/packages/forwarding/src/upstream_directory_entries.cpp
@@ -49,7 +49,10 @@
     if (known != m_by_instance.end())
     {
         const upstream_entry& old = known->second->entry();
-        m_version += old.m_is_draining == entry.m_is_draining ? 0 : 1;
+        if (old.m_is_draining != entry.m_is_draining)
+        {
+            count_change(entry.m_service);
+        }
         const bool is_same_process = old.m_incarnation == entry.m_incarnation &&
                                      old.m_address == entry.m_address && old.m_service == entry.m_service;
         if (is_same_process)
@@ -60,7 +63,7 @@
         erase(entry.m_instance);
     }
     record_address(entry);
-    ++m_version;
+    count_change(entry.m_service);
     const auto added = std::make_shared<upstream>(entry, now);
     added->pause_until(state.m_paused_until);
     if (state.m_has_announced_shutdown)
@@ -123,7 +126,7 @@
     }
     m_by_instance.erase(known);
     m_expired.erase(instance);
-    ++m_version;
+    count_change(removed->entry().m_service);
 }
 
 entry_outcome upstream_directory::on_change(const directory_item& item, time_point now)
--- a/packages/runtime/src/connection_limits.cpp
+++ b/packages/runtime/src/connection_limits.cpp
@@ -46,17 +46,28 @@
     m_nodes = std::move(nodes);
     m_places = places_of(m_nodes);
     m_is_settled = is_settled;
-    m_shares.clear();
+    clear();
     return true;
 }
 
 void connection_limits::on_table(forwarding::shared_route_table table)
 {
     m_table = std::move(table);
-    m_shares.clear();
+    clear();
 }
 
 std::size_t connection_limits::limit(const forwarding::upstream& target, time_point now)
+{
+    if (m_directory_version != m_directory.version())
+    {
+        m_directory_version = m_directory.version();
+        m_known.clear();
+    }
+    const auto known = m_known.find(&target);
+    return known != m_known.end() ? known->second : find_limit(target, now);
+}
+
+std::size_t connection_limits::find_limit(const forwarding::upstream& target, time_point now)
 {
     const forwarding::service* const declared =
         m_table ? m_table->find_service(target.entry().m_service) : nullptr;
@@ -70,21 +81,28 @@
                      [&target](const upstream_share& each) { return each.m_upstream == &target; });
     if (found != shares.m_upstreams.end() && found->m_connections > 0)
     {
+        m_known.emplace(&target, found->m_connections);
         return found->m_connections;
     }
     return substitute(shares, now) == &target ? 1 : 0;
 }
 
+void connection_limits::clear()
+{
+    m_shares.clear();
+    m_known.clear();
+}
+
 const connection_limits::service_shares& connection_limits::shares_of(const forwarding::service& declared)
 {
-    if (m_directory_version != m_directory.version())
+    service_shares& shares = m_shares[declared.m_name];
+    const std::uint64_t version = m_directory.version_of(declared.m_name);
+    if (shares.m_version != version)
     {
-        m_directory_version = m_directory.version();
-        m_shares.clear();
+        shares = compute(declared);
+        shares.m_version = version;
     }
-    const auto known = m_shares.find(declared.m_name);
-    return known != m_shares.end() ? known->second
-                                   : m_shares.emplace(declared.m_name, compute(declared)).first->second;
+    return shares;
 }
 
 connection_limits::service_shares connection_limits::compute(const forwarding::service& declared) const
--- a/packages/runtime/src/connection_limits.hpp
+++ b/packages/runtime/src/connection_limits.hpp
@@ -83,8 +83,11 @@
     {
         std::vector<upstream_share> m_upstreams;
         bool m_is_starved{false};
+        std::uint64_t m_version{0}; ///< of the directory's upstreams of the service
     };
 
+    [[nodiscard]] std::size_t find_limit(const forwarding::upstream& target, time_point now);
+    void clear();
     [[nodiscard]] const service_shares& shares_of(const forwarding::service& declared);
     [[nodiscard]] service_shares compute(const forwarding::service& declared) const;
     /// keeps one connection to each of two thirds of the upstreams, as long as most nodes are unknown
@@ -100,8 +103,9 @@
     std::vector<node_location> m_nodes;
     forwarding::node_places m_places;
     bool m_is_settled{false};
-    std::uint64_t m_directory_version{0}; ///< version to which the cached shares belong
     std::unordered_map<std::string, service_shares> m_shares;
+    std::uint64_t m_directory_version{0}; ///< to which the known limits belong
+    std::unordered_map<const forwarding::upstream*, std::size_t> m_known; ///< limits by share
 };
 
 } // namespace teasellead::runtime
