The work for a reply doesn't grow with the number of shards

Cause: each reply counted the states of all sub-requests three times, looked through all attempts for one to release and through all sub-requests for the next check, and set the search's timer again, which costs system calls. Before a search, its candidates were copied up to three times a shard; names of header fields were compared by way of the locale. Change: states are counted as they change; a timer that expires a little early is kept; candidates are looked at in place; an upstream that isn't cold needs no look-up of a limit for cold ones; shards that are certain don't cost a step of the outlook; names of different lengths aren't compared, and lists of fields are reserved.

--- a/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/dispatch.hpp
@@ -220,7 +220,7 @@
     [[nodiscard]] guard_decision on_trial_pending(time_point now);
     [[nodiscard]] std::string select_trial_service(const std::string& service) const;
     void wait_or_end(sub_request& target, guard_decision decision, time_point now);
-    static void wait(sub_request& target, time_point until, time_point now);
+    void wait(sub_request& target, time_point until, time_point now);
     [[nodiscard]] capacity_waiter waiter_of(const sub_request& target, time_point now) const;
     [[nodiscard]] bool may_take(const sub_request& target, const std::string& service, const upstream& free,
                                 time_point now) const;
@@ -229,6 +229,9 @@
     [[nodiscard]] bool is_capacity_expected(const sub_request& target, const std::string& service,
                                             time_point now) const;
     [[nodiscard]] bool may_wait_for_capacity(sub_request& target, const std::string& service, time_point now);
+    /// whether another attempt could be sent to an upstream if it had capacity
+    [[nodiscard]] bool is_usable_for(const sub_request& target, const upstream& candidate,
+                                     time_point now) const;
     /// the upstreams of a service that another attempt could be sent to if they had capacity
     [[nodiscard]] std::vector<shared_upstream> usable_for(const sub_request& target,
                                                           const std::string& service, time_point now) const;
@@ -249,6 +252,8 @@
     /// ends the request if it can end; a search without its slow shards only when all input that had arrived
     /// by then has been handled
     void conclude(time_point now, time_point input_read, actions& result);
+    void set_next_check(sub_request& target, time_point at);
+    void find_next_check();
     void conclude_single(time_point now, actions& result);
     void conclude_scatter(time_point now, time_point input_read, actions& result);
     [[nodiscard]] gathered gather_replies(const scatter_progress& current);
@@ -278,6 +283,9 @@
     bool m_is_trial_used{false};    ///< whether the trial was made and may have run
     attempt_denied m_denied;        ///< the latest denial by the crash guard
     std::vector<sub_request> m_sub_requests;
+    std::size_t m_answered{0};                  ///< number of sub-requests in this state
+    std::size_t m_pending;                      ///< number of sub-requests in this state
+    time_point m_next_check{time_point::max()}; ///< not after the next check of any pending sub-request
     std::vector<attempt_state> m_attempts;
     std::size_t m_hedges{0};
     duration m_longest_hand_over{duration::zero()};
--- a/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
+++ b/packages/forwarding/include/teasellead/forwarding/upstream_directory.hpp
@@ -246,9 +246,6 @@
     /// whether at least one upstream of a service may get attempts and is neither ejected nor paused
     [[nodiscard]] bool has_candidates(const std::string& service, time_point now) const;
 
-    /// the upstreams of a service that may get attempts and are neither ejected nor paused
-    [[nodiscard]] std::vector<shared_upstream> candidates(const std::string& service, time_point now) const;
-
     /// the listed upstream with an instance name, or null
     [[nodiscard]] shared_upstream find(const std::string& instance) const
     {
--- a/packages/forwarding/src/cold_start_limiter.cpp
+++ b/packages/forwarding/src/cold_start_limiter.cpp
@@ -90,8 +90,12 @@
 
 bool cold_start_limiter::may_send(const upstream& target, time_point now)
 {
+    if (!target.is_cold(now))
+    {
+        return true;
+    }
     const double rate = rate_of(target);
-    if (rate <= 0.0 || !target.is_cold(now))
+    if (rate <= 0.0)
     {
         return true;
     }
@@ -101,8 +105,12 @@
 
 void cold_start_limiter::on_send(const upstream& target, time_point now)
 {
+    if (!target.is_cold(now))
+    {
+        return;
+    }
     const double rate = rate_of(target);
-    if (rate > 0.0 && target.is_cold(now))
+    if (rate > 0.0)
     {
         state_of(target, rate, now).m_sent.add(now);
     }
--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -27,7 +27,7 @@
       m_partial_from(m_request.m_arrived + std::max(m_request.m_objective - caller_network_time,
                                                     scaled(m_request.m_objective, min_partial_fraction))),
       m_capacity_wait_end(now + scaled(m_request.m_objective, capacity_wait_fraction)),
-      m_sub_requests(m_request.m_services.size())
+      m_sub_requests(m_request.m_services.size()), m_pending(m_sub_requests.size())
 {
 }
 
@@ -118,7 +118,7 @@
     m_context->m_statistics.m_hedges += is_hedge ? 1 : 0;
     ++target.m_sent;
     ++target.m_in_flight;
-    target.m_next_check = is_trial ? time_point::max() : now + hedge_delay(choice);
+    set_next_check(target, is_trial ? time_point::max() : now + hedge_delay(choice));
     m_attempts.push_back({index, selected, now, now, choice.m_work, choice.m_expected, is_trial});
     selected->on_start(now, expected_attempt_of(choice.m_expected, choice.m_work));
     m_context->m_cold_starts.on_send(*selected, now);
@@ -242,6 +242,9 @@
 
 void dispatch::end_sub_request(sub_request& target, sub_request_state state, failure_reason reason)
 {
+    m_pending -= target.m_state == sub_request_state::pending ? 1 : 0;
+    m_answered -= target.m_state == sub_request_state::answered ? 1 : 0;
+    m_answered += state == sub_request_state::answered ? 1 : 0;
     target.m_state = state;
     target.m_reason = reason;
     target.m_is_waiting = false;
@@ -261,6 +264,10 @@
 
 void dispatch::release_sub_request(std::size_t index, actions& result)
 {
+    if (m_sub_requests[index].m_in_flight == 0)
+    {
+        return;
+    }
     for (attempt_number i = 0; i < m_attempts.size(); ++i)
     {
         if (m_attempts[i].m_sub_request == index && m_attempts[i].m_is_active)
@@ -286,6 +293,7 @@
     {
         check(i, now, input_read, result);
     }
+    find_next_check();
     conclude(now, input_read, result);
     return result;
 }
@@ -344,14 +352,25 @@
     {
         result = std::min(result, m_partial_from);
     }
+    return std::min(result, m_next_check);
+}
+
+void dispatch::set_next_check(sub_request& target, time_point at)
+{
+    target.m_next_check = at;
+    m_next_check = std::min(m_next_check, at);
+}
+
+void dispatch::find_next_check()
+{
+    m_next_check = time_point::max();
     for (const sub_request& target : m_sub_requests)
     {
         if (target.m_state == sub_request_state::pending)
         {
-            result = std::min(result, target.m_next_check);
+            m_next_check = std::min(m_next_check, target.m_next_check);
         }
     }
-    return result;
 }
 
 verdict dispatch::current_verdict() const noexcept
--- a/packages/forwarding/src/dispatch_search.cpp
+++ b/packages/forwarding/src/dispatch_search.cpp
@@ -10,21 +10,28 @@
 {
     const std::string& service = m_request.m_services[index];
     const sub_request& target = m_sub_requests[index];
-    const std::vector<shared_upstream> usable = usable_for(target, service, now);
-    const bool is_hopeless = is_busy(target, service, now) && !is_capacity_expected(target, service, now);
-    if (usable.empty() || is_hopeless)
+    const bool has_evidence = m_context->m_outlook.has_evidence(service, now);
+    bool is_usable = false;
+    bool has_room = false;
+    std::vector<double> ratios;
+    for (const shared_upstream& each : m_context->m_directory.upstreams_of(service))
     {
-        return 0.0;
+        if (!is_usable_for(target, *each, now))
+        {
+            continue;
+        }
+        is_usable = true;
+        has_room = has_room || (each->is_below_ramp_up_limit(now) && has_capacity(*each, now));
+        if (has_evidence)
+        {
+            ratios.push_back(m_context->m_failure_estimate(*each, now));
+        }
     }
-    if (!m_context->m_outlook.has_evidence(service, now))
+    if (!is_usable || (!has_room && !is_capacity_expected(target, service, now)))
     {
-        return 1.0;
+        return 0.0;
     }
-    std::vector<double> ratios;
-    std::transform(usable.begin(), usable.end(), std::back_inserter(ratios),
-                   [this, now](const shared_upstream& each)
-                   { return m_context->m_failure_estimate(*each, now); });
-    return chance_of_reply(std::move(ratios), m_request.m_max_attempts);
+    return has_evidence ? chance_of_reply(std::move(ratios), m_request.m_max_attempts) : 1.0;
 }
 
 std::optional<failure_reason> dispatch::reason_not_to_search(time_point now) const
@@ -56,13 +63,7 @@
 
 scatter_progress dispatch::progress() const
 {
-    const auto count = [this](sub_request_state state)
-    {
-        return static_cast<std::size_t>(std::count_if(m_sub_requests.begin(), m_sub_requests.end(),
-                                                      [state](const sub_request& each)
-                                                      { return each.m_state == state; }));
-    };
-    return {m_sub_requests.size(), count(sub_request_state::answered), count(sub_request_state::pending),
+    return {m_sub_requests.size(), m_answered, m_pending,
             m_request.m_scatter ? m_request.m_scatter->m_min_coverage : 1.0};
 }
 
--- a/packages/forwarding/src/dispatch_waiting.cpp
+++ b/packages/forwarding/src/dispatch_waiting.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <iterator>
+#include <span>
 
 #include "teasellead/forwarding/dispatch.hpp"
 #include "teasellead/forwarding/extra_reserve.hpp"
@@ -23,7 +25,7 @@
 {
     const bool is_first = target.m_place && target.m_place->ahead(now) == 0;
     target.m_is_waiting = true;
-    target.m_next_check = std::min(now + (is_first ? first_check_interval : wait_check_interval), until);
+    set_next_check(target, std::min(now + (is_first ? first_check_interval : wait_check_interval), until));
 }
 
 capacity_waiter dispatch::waiter_of(const sub_request& target, time_point now) const
@@ -49,15 +51,20 @@
            queue.may_take(service, waiter_of(target, now), free, now);
 }
 
+bool dispatch::is_usable_for(const sub_request& target, const upstream& candidate, time_point now) const
+{
+    return m_context->m_directory.is_candidate(candidate, now) &&
+           std::none_of(target.m_tried.begin(), target.m_tried.end(),
+                        [&candidate](const shared_upstream& each) { return each.get() == &candidate; });
+}
+
 std::vector<shared_upstream> dispatch::usable_for(const sub_request& target, const std::string& service,
                                                   time_point now) const
 {
-    std::vector<shared_upstream> result = m_context->m_directory.candidates(service, now);
-    const auto is_tried = [&target](const shared_upstream& each)
-    {
-        return std::find(target.m_tried.begin(), target.m_tried.end(), each) != target.m_tried.end();
-    };
-    std::erase_if(result, is_tried);
+    std::vector<shared_upstream> result;
+    const std::span<const shared_upstream> listed = m_context->m_directory.upstreams_of(service);
+    std::copy_if(listed.begin(), listed.end(), std::back_inserter(result),
+                 [&](const shared_upstream& each) { return is_usable_for(target, *each, now); });
     return result;
 }
 
@@ -68,10 +75,13 @@
 
 bool dispatch::is_busy(const sub_request& target, const std::string& service, time_point now) const
 {
-    const std::vector<shared_upstream> usable = usable_for(target, service, now);
-    return std::none_of(usable.begin(), usable.end(),
-                        [this, now](const shared_upstream& each)
-                        { return each->is_below_ramp_up_limit(now) && has_capacity(*each, now); });
+    const std::span<const shared_upstream> listed = m_context->m_directory.upstreams_of(service);
+    return std::none_of(listed.begin(), listed.end(),
+                        [&](const shared_upstream& each)
+                        {
+                            return is_usable_for(target, *each, now) && each->is_below_ramp_up_limit(now) &&
+                                   has_capacity(*each, now);
+                        });
 }
 
 bool dispatch::is_capacity_expected(const sub_request& target, const std::string& service,
--- a/packages/forwarding/src/search_outlook.cpp
+++ b/packages/forwarding/src/search_outlook.cpp
@@ -42,6 +42,10 @@
     missing.front() = 1.0;
     for (const double chance : shard_chances)
     {
+        if (chance >= 1.0)
+        {
+            continue;
+        }
         for (std::size_t i = missing.size() - 1; i > 0; --i)
         {
             missing[i] = missing[i] * chance + missing[i - 1] * (1.0 - chance);
--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -231,13 +231,4 @@
                        [this, now](const shared_upstream& each) { return is_candidate(*each, now); });
 }
 
-std::vector<shared_upstream> upstream_directory::candidates(const std::string& service, time_point now) const
-{
-    std::vector<shared_upstream> result;
-    const std::span<const shared_upstream> listed = upstreams_of(service);
-    std::copy_if(listed.begin(), listed.end(), std::back_inserter(result),
-                 [this, now](const shared_upstream& each) { return is_candidate(*each, now); });
-    return result;
-}
-
 } // namespace teasellead::forwarding
--- a/packages/runtime/include/teasellead/runtime/request_driver.hpp
+++ b/packages/runtime/include/teasellead/runtime/request_driver.hpp
@@ -86,7 +86,8 @@
     time_point m_started_at;
     time_point m_close_released_at{time_point::max()}; ///< when released attempts are abandoned
     asio::steady_timer m_timer;
-    time_point m_wakeup{}; ///< when the timer expires
+    time_point m_wakeup{};  ///< when the timer expires
+    bool m_is_armed{false}; ///< whether it runs
     std::unordered_map<forwarding::attempt_number, std::shared_ptr<client_connection>> m_running;
     std::string m_common_head;
     memory_charge m_attempt_charge; ///< for the copies of the request that were made for its attempts
--- a/packages/runtime/src/http_message.cpp
+++ b/packages/runtime/src/http_message.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace teasellead::runtime
 {
@@ -23,7 +22,8 @@
 
 char lower(char letter) noexcept
 {
-    return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+    constexpr char distance = 'a' - 'A';
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + distance) : letter;
 }
 
 std::string_view trimmed(std::string_view text) noexcept
@@ -51,7 +51,8 @@
 
 bool same_field_name(std::string_view lhs, std::string_view rhs) noexcept
 {
-    return std::equal(lhs.begin(), lhs.end(), rhs.begin(), rhs.end(),
+    return lhs.size() == rhs.size() &&
+           std::equal(lhs.begin(), lhs.end(), rhs.begin(),
                       [](char left, char right) { return lower(left) == lower(right); });
 }
 
--- a/packages/runtime/src/message_head.hpp
+++ b/packages/runtime/src/message_head.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 std::vector<header_field> copy_fields(const Fields& fields)
 {
     std::vector<header_field> result;
+    result.reserve(static_cast<std::size_t>(std::distance(fields.begin(), fields.end())));
     for (const auto& field : fields)
     {
         result.push_back({std::string{field.name_string()}, std::string{field.value()}});
--- a/packages/runtime/src/request_driver.cpp
+++ b/packages/runtime/src/request_driver.cpp
@@ -262,16 +262,23 @@
 {
     if (m_is_ended && m_running.empty())
     {
+        m_is_armed = false;
         m_timer.cancel();
         return;
     }
-    const time_point now = m_environment.m_clock.now();
     const time_point wakeup =
         m_is_ended ? m_close_released_at : std::min(m_dispatch.next_wakeup(), m_close_released_at);
     if (wakeup == time_point::max())
     {
         return;
     }
+    // while the request runs, a timer that expires too early costs less than to set it with each reply
+    if (m_is_armed && (m_is_ended ? m_wakeup == wakeup : m_wakeup <= wakeup))
+    {
+        return;
+    }
+    const time_point now = m_environment.m_clock.now();
+    m_is_armed = true;
     m_wakeup = std::max(wakeup, now);
     m_timer.expires_after(m_wakeup - now);
     m_timer.async_wait(
@@ -279,6 +286,7 @@
         {
             if (!error)
             {
+                self->m_is_armed = false;
                 self->on_timer();
             }
         });
