--- a/tests/unit/platform/unit-decode.cpp
+++ b/tests/unit/platform/unit-decode.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(unusable_entries_yield_no_upstream);
     CPPUNIT_TEST(figures_out_of_range_yield_no_upstream);
     CPPUNIT_TEST(whole_figures_may_have_decimals);
+    CPPUNIT_TEST(other_fields_of_an_entry_are_passed_over);
     CPPUNIT_TEST(names_that_cannot_be_sent_yield_no_upstream);
     CPPUNIT_TEST(pages_of_the_store);
     CPPUNIT_TEST(unreadable_items_leave_the_others);
@@ -133,6 +134,11 @@
             replaced(valid_upstream, "\"born\":1700000000123", "\"born\":\"today\""),
             std::string(100'000, '[') + std::string(100'000, ']'),
             replaced(valid_upstream, "\"version\":\"v1\"", "\"version\":\"\xff\""),
+            "[" + valid_upstream + "]",
+            valid_upstream + "}",
+            replaced(valid_upstream, "\"net\"", "[\"net\"]"),
+            replaced(valid_upstream, "\"q1\"", "{\"zone\":\"q1\"}"),
+            replaced(valid_upstream, "\"service\":\"net\"", "\"other\":{\"service\":\"net\"}"),
         };
         for (const std::string& value : values)
         {
@@ -177,6 +183,20 @@
                        decode_upstream("servers/i-1", valid_upstream));
     }
 
+    // guards against a reader of some fields that differs from one of the whole text
+    void other_fields_of_an_entry_are_passed_over()
+    {
+        for (const std::string other :
+             {"\"version\":{\"service\":\"x\",\"state\":[1,{\"zone\":2}]}", "\"version\":[[\"capacity\"],{}]",
+              "\"version\":null", "\"service\":\"x\",\"version\":1,\"service\":\"net\"",
+              "\"capacity\":{},\"capacity\":3", "\"se\\u0071uence\":9,\"sequence\":4"})
+        {
+            const std::string entry = "{" + other + "," + valid_upstream.substr(1);
+            CPPUNIT_ASSERT_MESSAGE(entry, decode_upstream("servers/i-1", entry) ==
+                                              decode_upstream("servers/i-1", valid_upstream));
+        }
+    }
+
     // guards against names that would add lines to the head of a request
     void names_that_cannot_be_sent_yield_no_upstream()
     {
