--- a/packages/forwarding/src/upstream_directory.cpp
+++ b/packages/forwarding/src/upstream_directory.cpp
@@ -15,6 +15,9 @@
 constexpr double jitter = 0.15;
 // an upstream without a share is preferred if others are expected to take this many times as long
 constexpr double min_gain_without_share = 1.25;
+// versions of services without upstreams are kept up to this number
+constexpr std::size_t max_versions_per_service = 2;
+constexpr std::size_t min_versions = 64;
 
 bool contains(std::span<const shared_upstream> tried, const shared_upstream& candidate)
 {
@@ -139,6 +142,12 @@
 
 void upstream_directory::count_change(const std::string& service)
 {
+    // entries may name ever new services
+    if (m_service_versions.size() > max_versions_per_service * m_by_service.size() + min_versions)
+    {
+        m_service_versions.clear();
+        m_common_version = ++m_version;
+    }
     m_service_versions[service] = ++m_version;
 }
 
--- a/tests/unit/forwarding/unit-directory-version.cpp
+++ b/tests/unit/forwarding/unit-directory-version.cpp
@@ -19,6 +19,7 @@
 {
     CPPUNIT_TEST_SUITE(directory_version_test);
     CPPUNIT_TEST(version_of_a_service_changes_only_with_its_upstreams);
+    CPPUNIT_TEST(change_counts_after_many_services_have_come_and_gone);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -64,6 +65,23 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(each.m_name, each.m_changes_a, all != directory.version());
         }
     }
+
+    /// guards against a change that is missed since the versions of services without upstreams were dropped
+    void change_counts_after_many_services_have_come_and_gone()
+    {
+        dispatch_fixture fixture{{"a"}};
+        upstream_directory& directory = fixture.m_directory;
+        for (int i = 0; i < 500; ++i)
+        {
+            const std::uint64_t before = directory.version_of("a");
+            const std::string other = "other-" + std::to_string(i);
+            directory.on_change({other + "-0", entry_of(other, 0)}, start);
+            directory.on_removed(other + "-0", false);
+            directory.on_change({"a-2", entry_of("a", 2)}, start);
+            CPPUNIT_ASSERT(directory.version_of("a") > before);
+            directory.on_removed("a-2", false);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(directory_version_test);
