Tests of the own delay use the search of the dispatch fixture

Cause: slow_node built the request of a search that dispatch_fixture builds already; found when the diff was read again. Change: dispatch_fixture::search_over makes it for both; no assertion changes. Conclusion: one place names the parameters of such a search.

--- a/tests/support/dispatch_fixture.hpp
+++ b/tests/support/dispatch_fixture.hpp
@@ -72,6 +72,13 @@
     /// a scatter over shards with a latency objective of 100 ms and a deadline in one second
     forwarding::dispatch over_shards(const std::vector<std::string>& shards, double least_coverage,
                                      time_point admitted = dispatch_start)
+    {
+        return {search_over(shards, least_coverage, dispatch_start), m_context, admitted};
+    }
+
+    /// the request of such a scatter
+    static forwarding::dispatch_request search_over(const std::vector<std::string>& shards,
+                                                    double least_coverage, time_point arrived)
     {
         forwarding::dispatch_request request;
         request.m_fingerprint = "f00d";
@@ -80,9 +87,9 @@
         request.m_scatter = forwarding::scatter{shards, 10, least_coverage};
         request.m_max_attempts = 2;
         request.m_objective = 100ms;
-        request.m_arrived = dispatch_start;
-        request.m_response_deadline = dispatch_start + 1s;
-        return {request, m_context, admitted};
+        request.m_arrived = arrived;
+        request.m_response_deadline = arrived + 1s;
+        return request;
     }
 
     /// isolates the fixture's requests: they lose their connections to two upstreams of a service
--- a/tests/support/slow_node.hpp
+++ b/tests/support/slow_node.hpp
@@ -80,16 +80,9 @@
 
     dispatch over_all_shards()
     {
-        forwarding::dispatch_request request;
+        forwarding::dispatch_request request = dispatch_fixture::search_over(m_shards, m_min_coverage, m_now);
         request.m_route = "search";
-        request.m_fingerprint = "f00d";
-        request.m_repeatability = forwarding::repeatability::idempotent;
-        request.m_services = m_shards;
-        request.m_scatter = forwarding::scatter{m_shards, 10, m_min_coverage};
-        request.m_max_attempts = 2;
         request.m_objective = 60ms;
-        request.m_arrived = m_now;
-        request.m_response_deadline = m_now + 1s;
         return {request, m_fixture.m_context, m_now};
     }
 
