Dispatch names the time that stands for unread input

Cause: four calls passed time_point::min() without a word why; found when the diff was read again. Change: a constant with the reason; behaviour is the same.

--- a/packages/forwarding/src/dispatch.cpp
+++ b/packages/forwarding/src/dispatch.cpp
@@ -18,6 +18,8 @@
 constexpr double min_partial_fraction = 0.65;
 // time for the response to reach the caller, and for the caller to connect before its request
 constexpr duration caller_network_time = milliseconds{16};
+// for events other than the timer, since more input may have arrived with theirs
+constexpr time_point input_unread = time_point::min();
 
 } // namespace
 
@@ -52,7 +54,7 @@
     {
         try_send(m_sub_requests[i], i, now, result);
     }
-    conclude(now, time_point::min(), result);
+    conclude(now, input_unread, result);
     return result;
 }
 
@@ -192,7 +194,7 @@
     {
         retry_or_end(answered.m_sub_request, failure_reason::upstreams_failed, now, result);
     }
-    conclude(now, time_point::min(), result);
+    conclude(now, input_unread, result);
     return result;
 }
 
@@ -220,7 +222,7 @@
         return result;
     }
     retry_or_end(failed.m_sub_request, failure_reason::upstreams_failed, now, result);
-    conclude(now, time_point::min(), result);
+    conclude(now, input_unread, result);
     return result;
 }
 
@@ -326,7 +328,7 @@
     if (!m_result)
     {
         end_pending(reason);
-        conclude(now, time_point::min(), result);
+        conclude(now, input_unread, result);
     }
     return result;
 }
