--- a/review/lab-3/cold-stop.cpp
+++ b/review/lab-3/cold-stop.cpp
@@ -33,8 +33,9 @@
         {
             std::thread{[this, i]
                         {
-                            for (;;)
+                            for (int check = 0;; ++check)
                             {
+                                std::this_thread::sleep_until(m_began + check * std::chrono::seconds{1});
                                 const int fd = connect_to({m_ips[i], 8364});
                                 bool is_ready = false;
                                 if (fd >= 0)
@@ -45,13 +46,20 @@
                                     ::close(fd);
                                 }
                                 m_misses[i] = is_ready ? 0 : m_misses[i] + 1;
-                                sleep_ms(1000);
                             }
                         }}
                 .detach();
         }
     }
 
+    /// waits until a moment after the next round of checks
+    void wait_for_check(milliseconds after) const
+    {
+        const auto passed = std::chrono::steady_clock::now() - m_began;
+        const auto rounds = std::chrono::duration_cast<std::chrono::seconds>(passed);
+        std::this_thread::sleep_until(m_began + rounds + std::chrono::seconds{1} + after);
+    }
+
     [[nodiscard]] std::size_t choose(std::mt19937& random)
     {
         std::vector<std::size_t> usable;
@@ -68,6 +76,7 @@
   private:
     std::vector<string> m_ips;
     std::vector<std::atomic<int>> m_misses;
+    std::chrono::steady_clock::time_point m_began{std::chrono::steady_clock::now()};
 };
 
 } // namespace
@@ -192,9 +201,10 @@
                 }
             });
     }
-    sleep_ms(1500);
+    sleep_ms(700);
     if (has_trouble())
     {
+        entry.wait_for_check(milliseconds{150});
         for (int i = 0; i < stopped_nodes; ++i)
         {
             ::kill(nodes[static_cast<std::size_t>(i)]->process(), SIGTERM);
