--- a/review/lab-3/lab.hpp
+++ b/review/lab-3/lab.hpp
@@ -373,6 +373,19 @@
         change({key, value, false, ++m_revision});
     }
 
+    /// while it is down the store answers all calls with 503 and takes no reports
+    void set_down(bool is_down)
+    {
+        m_is_down = is_down;
+        const std::scoped_lock lock{m_mutex};
+        m_changed.notify_all();
+    }
+
+    [[nodiscard]] bool is_down() const
+    {
+        return m_is_down;
+    }
+
     void remove(const string& key)
     {
         const std::scoped_lock lock{m_mutex};
@@ -460,7 +473,7 @@
                     return found;
                 };
                 string found;
-                m_changed.wait_for(lock, wait, [&] { return !(found = list()).empty(); });
+                m_changed.wait_for(lock, wait, [&] { return m_is_down || !(found = list()).empty(); });
                 body = "{\"events\":[" + found + "]";
             }
             else
@@ -477,7 +490,8 @@
             }
             body += ",\"asOf\":" + std::to_string(m_revision) + "}";
             lock.unlock();
-            if (!send_all(fd, http(200, "Content-Type: application/json\r\n", body)))
+            const bool is_down = m_is_down;
+            if (!send_all(fd, http(is_down ? 503 : 200, "Content-Type: application/json\r\n", is_down ? "" : body)))
             {
                 break;
             }
@@ -485,6 +499,7 @@
         ::close(fd);
     }
 
+    std::atomic<bool> m_is_down{false};
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<string, event> m_items;
@@ -561,7 +576,7 @@
     }
 
     /// the replica's process ends: its connections are closed and its port refuses; after a while the next boot begins
-    void crash(const std::shared_ptr<boot>& which, int back_after_ms)
+    void crash(const std::shared_ptr<boot>& which, int back_after_ms, bool keeps_id = false)
     {
         if (which->m_is_silent.exchange(true))
         {
@@ -579,28 +594,37 @@
         std::thread{[this, which]
                     {
                         sleep_ms(3 * report_ms);
-                        m_store.remove("servers/" + which->m_id);
+                        if (current()->m_id != which->m_id)
+                        {
+                            m_store.remove("servers/" + which->m_id);
+                        }
                     }}
             .detach();
-        std::thread{[this, back_after_ms]
+        std::thread{[this, which, back_after_ms, keeps_id]
                     {
                         sleep_ms(back_after_ms);
-                        begin();
+                        begin(keeps_id ? which->m_id : "");
                         m_server.open();
                         m_record.add("replica %s is back as %s", m_name.c_str(), current()->m_id.c_str());
                     }}
             .detach();
     }
 
+    /// length of the warm-up of later boots
+    void set_warm_up(double cold_s)
+    {
+        m_cold_s = cold_s;
+    }
+
     static constexpr int report_ms = 1200;
 
   private:
-    void begin()
+    void begin(const string& id = "")
     {
         const auto next = std::make_shared<boot>();
         next->m_born = unix_ms();
         next->m_cold_until = m_cold_s > 0.0 ? now_s() + m_cold_s : 0.0;
-        next->m_id = "i-" + m_name + "-" + std::to_string(++m_boots);
+        next->m_id = id.empty() ? "i-" + m_name + "-" + std::to_string(++m_boots) : id;
         {
             const std::scoped_lock lock{m_mutex};
             m_boot = next;
@@ -610,6 +634,10 @@
 
     void write_entry(const boot& which)
     {
+        if (m_store.is_down())
+        {
+            return; // the next report will be accepted
+        }
         m_store.put("servers/" + which.m_id,
                     "{\"service\":\"" + m_service + "\",\"address\":\"" + m_address.text() + "\",\"zone\":\"" + m_zone +
                         "\",\"version\":\"v1\",\"capacity\":8,\"state\":\"ready\",\"warmupRemainingMs\":" +
