--- a/review/lab-3/lab.hpp
+++ b/review/lab-3/lab.hpp
@@ -650,6 +650,18 @@
         m_queue = queue;
     }
 
+    /// the replica is about to leave: it reports so, and says so in all its answers; it goes on serving
+    void leave()
+    {
+        m_is_leaving = true;
+        write_entry(*current());
+    }
+
+    [[nodiscard]] const address& where() const
+    {
+        return m_address;
+    }
+
     /// length of the warm-up of later boots
     void set_warm_up(double cold_s)
     {
@@ -681,7 +693,7 @@
         m_reported_at = now_s();
         m_store.put("servers/" + which.m_id,
                     "{\"service\":\"" + m_service + "\",\"address\":\"" + m_address.text() + "\",\"zone\":\"" + m_zone +
-                        "\",\"version\":\"v1\",\"capacity\":" + std::to_string(std::min(m_slots, 8)) + ",\"state\":\"ready\",\"warmupRemainingMs\":" +
+                        "\",\"version\":\"v1\",\"capacity\":" + std::to_string(std::min(m_slots, 8)) + ",\"state\":\"" + (m_is_leaving ? "draining" : "ready") + "\",\"warmupRemainingMs\":" +
                         std::to_string(std::max(0, static_cast<int>(1000 * (which.m_cold_until - now_s())))) +
                         ",\"sequence\":" + std::to_string(++m_sequence) + ",\"born\":" + std::to_string(which.m_born) + "}");
     }
@@ -758,7 +770,8 @@
                 sleep_ms(1000);
             }
             const string stamp = m_name + ".00." + std::to_string(++m_stamps);
-            if (!answers || !send_all(fd, http(200, "Request-Id: " + id + "\r\nServer-Stamp: " + stamp + "\r\n",
+            if (!answers || !send_all(fd, http(200, "Request-Id: " + id + "\r\nServer-Stamp: " + stamp + "\r\n" +
+                                                            (m_is_leaving ? "Server-Leaving: 1\r\n" : ""),
                                                string(64, 'r'))))
             {
                 break;
@@ -783,6 +796,7 @@
     std::mutex m_mutex;
     std::shared_ptr<boot> m_boot;
     std::set<int> m_open;
+    std::atomic<bool> m_is_leaving{false};
     std::atomic<bool> m_is_cut{false};
     std::atomic<double> m_reported_at{0.0};
     int m_slots{1000};
